Add the design page, the glossary, verdicts and the inner protocol

Cause: nothing can be built in parallel before modules, state, messages and failure handling are agreed on.

Ruled out: one RPC for each token (94 us CPU a call), a ledger for delivery in the object API (an outage would stall every trainer), leases as a basis of safety (a paused holder may act after its lease lapsed).

Change: docs/design.md and docs/glossary.md, project skeleton, the verdict type, and the Cap'n Proto schema with client and server.

--- /dev/null
+++ b/turmericreach/__init__.py
@@ -0,0 +1,5 @@
+"""A rollout service for reinforcement learning."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/turmericreach/rpc/client.py
@@ -0,0 +1,191 @@
+"""Client side of the inner protocol: one connection a peer, every call with a deadline."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import capnp
+
+from turmericreach.rpc import messages
+from turmericreach.rpc.errors import PeerDisconnected, PeerFailed, PeerTimeout, PeerUnreachable
+from turmericreach.rpc.messages import Attempt, Hello, inner
+from turmericreach.verdicts import Outcome
+
+__all__ = ["ChunkHandler", "PeerClient", "PeerPool"]
+
+CONNECT_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 2.0
+
+
+class ChunkHandler(Protocol):
+    """Receives the streamed response of an attempt."""
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Handle the status line and headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Handle one chunk."""
+
+
+class DiscardChunks:
+    """A `ChunkHandler` for attempts that do not stream."""
+
+    async def begin(self, status, headers):
+        """Ignore the status line."""
+
+    async def write(self, data):
+        """Ignore the chunk."""
+
+
+class SinkServer(inner.ChunkSink.Server):
+    """Adapts the chunk callbacks of the protocol to a `ChunkHandler`."""
+
+    def __init__(self, handler):
+        self.handler = handler
+
+    async def begin(self, status, headers, **kwargs):
+        """Pass on the status line."""
+        await self.handler.begin(status, messages.read_headers(headers))
+
+    async def write(self, data, **kwargs):
+        """Pass on one chunk."""
+        await self.handler.write(bytes(data))
+
+
+class PeerClient:
+    """A connection to one daemon.
+
+    Attributes
+    ----------
+    peer : Hello
+        Identity that the peer gave when the connection opened.
+    """
+
+    def __init__(self, stream, client, daemon, peer: Hello):
+        self.stream = stream
+        self.client = client
+        self.daemon = daemon
+        self.peer = peer
+        self.closed = False
+
+    @classmethod
+    async def connect(cls, host: str, port: int, hello: Hello, ssl=None) -> "PeerClient":
+        """Open a connection and exchange identities.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no connection could be made; nothing was sent.
+        """
+        options = {"ssl": ssl} if ssl is not None else {}
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await capnp.AsyncIoStream.create_connection(host, port, **options)
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"cannot connect to {host}:{port}: {error}") from error
+        client = capnp.TwoPartyClient(stream)
+        daemon = client.bootstrap().cast_as(inner.Daemon)
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                reply = await daemon.hello(messages.build_hello(hello))
+        except (capnp.KjException, TimeoutError) as error:
+            stream.close()
+            raise PeerUnreachable(f"no hello from {host}:{port}: {error}") from error
+        return cls(stream, client, daemon, messages.read_hello(reply.hello))
+
+    async def call(self, promise, timeout_s):
+        """Wait for a call's answer and translate its errors."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await promise
+        except TimeoutError as error:
+            raise PeerTimeout(f"no answer from {self.peer.name} in {timeout_s:.3f} s") from error
+        except capnp.KjException as error:
+            if error.type != "DISCONNECTED":
+                raise PeerFailed(f"{self.peer.name}: {error.description}") from error
+            self.close()
+            raise PeerDisconnected(f"{self.peer.name}: {error.description}") from error
+
+    async def submit(
+        self, attempt: Attempt, handler: ChunkHandler | None = None, timeout_s: float | None = None
+    ) -> Outcome:
+        """Run an attempt at the peer's target.
+
+        Raises
+        ------
+        PeerDisconnected, PeerTimeout
+            If the answer is missing; the attempt may have run.
+        """
+        request = self.daemon.submit_request()
+        messages.fill_attempt(request.init("attempt"), attempt)
+        request.sink = SinkServer(handler or DiscardChunks())
+        limit_s = attempt.remaining_s if timeout_s is None else timeout_s
+        reply = await self.call(request.send(), limit_s)
+        return messages.read_outcome(reply.outcome)
+
+    async def settle(
+        self, attempt_id: str, incarnation: int, wait_s: float, timeout_s: float
+    ) -> Outcome:
+        """Ask whether an attempt ran; an attempt that did not start is revoked."""
+        promise = self.daemon.settle(attempt_id, incarnation, int(wait_s * 1000))
+        reply = await self.call(promise, timeout_s)
+        return messages.read_outcome(reply.outcome)
+
+    async def cancel(self, attempt_id: str, timeout_s: float) -> None:
+        """Stop an attempt whose result is no longer needed."""
+        await self.call(self.daemon.cancel(attempt_id), timeout_s)
+
+    async def control(self, kind: str, body: bytes, timeout_s: float) -> bytes:
+        """Send a control message and return the body of its answer."""
+        reply = await self.call(self.daemon.control(kind, body), timeout_s)
+        return bytes(reply.body)
+
+    def close(self):
+        """Close the connection."""
+        if self.closed:
+            return
+        self.closed = True
+        self.stream.close()
+
+
+class PeerPool:
+    """Keeps one connection for each peer address and opens it on demand."""
+
+    def __init__(self, hello: Callable[[], Hello], ssl=None):
+        self.hello = hello
+        self.ssl = ssl
+        self.clients: dict[str, PeerClient] = {}
+        self.pending: dict[str, Awaitable] = {}
+
+    async def get(self, address: str) -> PeerClient:
+        """Return an open connection to ``host:port``.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no connection could be made.
+        """
+        client = self.clients.get(address)
+        if client is not None and not client.closed:
+            return client
+        task = self.pending.get(address)
+        if task is None:
+            host, _, port = address.rpartition(":")
+            connect = PeerClient.connect(host, int(port), self.hello(), self.ssl)
+            task = asyncio.ensure_future(connect)
+            self.pending[address] = task
+            task.add_done_callback(lambda _: self.pending.pop(address, None))
+        client = await asyncio.shield(task)
+        self.clients[address] = client
+        return client
+
+    def drop(self, address: str):
+        """Close the connection to an address, for example after a time-out."""
+        client = self.clients.pop(address, None)
+        if client is not None:
+            client.close()
+
+    def close(self):
+        """Close all connections."""
+        for address in list(self.clients):
+            self.drop(address)
--- /dev/null
+++ b/turmericreach/rpc/errors.py
@@ -0,0 +1,25 @@
+"""Errors of a call to another daemon, told apart by whether the call may have arrived."""
+
+from turmericreach.verdicts import TurmericreachError
+
+__all__ = ["PeerDisconnected", "PeerError", "PeerFailed", "PeerTimeout", "PeerUnreachable"]
+
+
+class PeerError(TurmericreachError):
+    """A call to another daemon failed."""
+
+
+class PeerUnreachable(PeerError):
+    """No connection could be made, so nothing was sent."""
+
+
+class PeerDisconnected(PeerError):
+    """The connection ended after the call was sent; the peer may have acted on it."""
+
+
+class PeerTimeout(PeerError):
+    """No answer within the deadline; the peer may have acted on the call."""
+
+
+class PeerFailed(PeerError):
+    """The peer raised an exception while it handled the call; it may have acted on it."""
--- /dev/null
+++ b/turmericreach/rpc/messages.py
@@ -0,0 +1,179 @@
+"""Typed messages of the inner protocol and their conversion to and from Cap'n Proto."""
+
+from pathlib import Path
+
+import attrs
+import capnp
+
+from turmericreach.verdicts import Outcome, Segment, Verdict
+
+__all__ = ["PROTOCOL_VERSION", "Attempt", "Hello", "inner"]
+
+PROTOCOL_VERSION = 1
+
+SCHEMA_PATH = Path(__file__).with_name("inner.capnp")
+# The compiler finds the standard schema stream.capnp in pycapnp's own folder.
+inner = capnp.load(str(SCHEMA_PATH), imports=[str(Path(capnp.__file__).parent.parent)])
+
+VERDICT_TO_WIRE = {
+    Verdict.ANSWERED: "answered",
+    Verdict.NOT_RUN: "notRun",
+    Verdict.MAY_HAVE_RUN: "mayHaveRun",
+}
+VERDICT_FROM_WIRE = {wire: verdict for verdict, wire in VERDICT_TO_WIRE.items()}
+
+
+@attrs.frozen
+class Hello:
+    """Identity that two daemons exchange when a connection opens."""
+
+    name: str
+    role: str
+    data_centre: str
+    incarnation: int
+    generation: int = 0
+    protocol: int = PROTOCOL_VERSION
+
+
+@attrs.frozen
+class Attempt:
+    """One try of a request at one target.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifies the caller's request over all its attempts.
+    attempt_id : str
+        Unique to this attempt; an attempt is sent once.
+    incarnation : int
+        Agent process the attempt is addressed to; another one refuses it.
+    remaining_s : float
+        Seconds until the deadline at the time of sending.
+    min_version : int
+        Lowest weight version that may serve the attempt, 0 for any.
+    """
+
+    request_id: str
+    attempt_id: str
+    target: str
+    incarnation: int
+    remaining_s: float
+    idempotent: bool = True
+    priority: str = "ordinary"
+    method: str = "GET"
+    path: str = "/"
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes = b""
+    stream: bool = False
+    lot: str = ""
+    trainer: str = ""
+    min_version: int = 0
+
+
+def fill_headers(builder, headers):
+    """Write header pairs into a list builder."""
+    for item, (name, value) in zip(builder, headers, strict=True):
+        item.name = name
+        item.value = value
+
+
+def read_headers(reader):
+    """Read header pairs from a list reader."""
+    return [(item.name, item.value) for item in reader]
+
+
+def fill_attempt(builder, attempt):
+    """Write an `Attempt` into its Cap'n Proto builder."""
+    builder.requestId = attempt.request_id
+    builder.attemptId = attempt.attempt_id
+    builder.target = attempt.target
+    builder.incarnation = attempt.incarnation
+    builder.remainingMs = max(0, int(attempt.remaining_s * 1000))
+    builder.idempotent = attempt.idempotent
+    builder.priority = attempt.priority
+    builder.method = attempt.method
+    builder.path = attempt.path
+    fill_headers(builder.init("headers", len(attempt.headers)), attempt.headers)
+    builder.body = attempt.body
+    builder.stream = attempt.stream
+    builder.lot = attempt.lot
+    builder.trainer = attempt.trainer
+    builder.minVersion = attempt.min_version
+
+
+def read_attempt(reader):
+    """Read an `Attempt` from its Cap'n Proto reader."""
+    return Attempt(
+        request_id=reader.requestId,
+        attempt_id=reader.attemptId,
+        target=reader.target,
+        incarnation=reader.incarnation,
+        remaining_s=reader.remainingMs / 1000,
+        idempotent=reader.idempotent,
+        priority=reader.priority,
+        method=reader.method,
+        path=reader.path,
+        headers=read_headers(reader.headers),
+        body=bytes(reader.body),
+        stream=reader.stream,
+        lot=reader.lot,
+        trainer=reader.trainer,
+        min_version=reader.minVersion,
+    )
+
+
+def build_outcome(outcome):
+    """Convert an `Outcome` to a Cap'n Proto message."""
+    builder = inner.Outcome.new_message()
+    builder.verdict = VERDICT_TO_WIRE[outcome.verdict]
+    builder.code = str(outcome.code)
+    builder.status = outcome.status
+    fill_headers(builder.init("headers", len(outcome.headers)), outcome.headers)
+    builder.body = outcome.body
+    segments = builder.init("segments", len(outcome.segments))
+    for item, segment in zip(segments, outcome.segments, strict=True):
+        item.version = segment.version
+        item.tokens = segment.tokens
+    builder.retryAfterMs = int(outcome.retry_after_s * 1000)
+    builder.evidence = outcome.evidence
+    builder.load = outcome.load
+    return builder
+
+
+def read_outcome(reader):
+    """Read an `Outcome` from its Cap'n Proto reader."""
+    return Outcome(
+        verdict=VERDICT_FROM_WIRE[str(reader.verdict)],
+        code=reader.code,
+        status=reader.status,
+        headers=read_headers(reader.headers),
+        body=bytes(reader.body),
+        segments=[Segment(item.version, item.tokens) for item in reader.segments],
+        retry_after_s=reader.retryAfterMs / 1000,
+        evidence=reader.evidence,
+        load=reader.load,
+    )
+
+
+def build_hello(hello):
+    """Convert a `Hello` to a Cap'n Proto message."""
+    return inner.Hello.new_message(
+        protocol=hello.protocol,
+        name=hello.name,
+        role=hello.role,
+        dataCentre=hello.data_centre,
+        incarnation=hello.incarnation,
+        generation=hello.generation,
+    )
+
+
+def read_hello(reader):
+    """Read a `Hello` from its Cap'n Proto reader."""
+    return Hello(
+        name=reader.name,
+        role=reader.role,
+        data_centre=reader.dataCentre,
+        incarnation=reader.incarnation,
+        generation=reader.generation,
+        protocol=reader.protocol,
+    )
--- /dev/null
+++ b/turmericreach/verdicts/__init__.py
@@ -0,0 +1,7 @@
+"""Verdicts, outcomes and error codes shared by every part of the system."""
+
+from turmericreach.verdicts.errors import ErrorCode, RequestError, TurmericreachError
+from turmericreach.verdicts.outcome import Outcome, Segment
+from turmericreach.verdicts.verdict import Verdict
+
+__all__ = ["ErrorCode", "Outcome", "RequestError", "Segment", "TurmericreachError", "Verdict"]
