--- /dev/null
+++ b/turmericreach/manifest/schema.py
@@ -0,0 +1,198 @@
+"""The manifest: what operators declare, as attrs classes.
+
+Durations carry their unit in the name (``_s`` seconds, ``_ms`` milliseconds). Names are 1 to 63
+lower-case letters, digits and hyphens.
+"""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "DataCentre",
+    "Manifest",
+    "ModelSpec",
+    "Policy",
+    "ServiceKind",
+    "ServiceSpec",
+    "SiteSpec",
+    "TargetSpec",
+    "TrainerSpec",
+]
+
+
+class ServiceKind(enum.StrEnum):
+    """Kind of back end behind a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+@attrs.frozen
+class DataCentre:
+    """A data centre and the region that holds it."""
+
+    name: str
+    region: str = "default"
+
+
+@attrs.frozen
+class SiteSpec:
+    """A shop or site whose ordinary requests are served while it is open.
+
+    Attributes
+    ----------
+    time_zone : str
+        IANA name.
+    opens, closes : str
+        Local time as ``HH:MM``; a closing time before the opening time is on the next day.
+    days : list of str
+        Days on which the site opens, ``mon`` to ``sun``.
+    reserved_share : float
+        Share of a model target's slots, 0 to 1, kept for this site's ordinary requests.
+    """
+
+    name: str
+    time_zone: str
+    opens: str
+    closes: str
+    days: list[str] = attrs.field(factory=lambda: ["mon", "tue", "wed", "thu", "fri", "sat", "sun"])
+    reserved_share: float = 0.0
+
+
+@attrs.frozen
+class ModelSpec:
+    """A model whose weights trainers publish.
+
+    Attributes
+    ----------
+    prepared_share : float
+        Share of targets, 0 to 1, that must hold a version before it is activated.
+    activate_after_s : float
+        Seconds after which a version is activated even if fewer targets hold it.
+    prepare_concurrency : int
+        Targets that may download from the weight store at the same time.
+    """
+
+    name: str
+    prepared_share: float = 0.9
+    activate_after_s: float = 30.0
+    prepare_concurrency: int = 4
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A customer-facing service or a service used by trainers.
+
+    Attributes
+    ----------
+    model : str
+        Model served by a service of kind ``model``.
+    idempotent : bool
+        Whether requests may be repeated, unless `non_idempotent_paths` says otherwise.
+    non_idempotent_paths : list of str
+        Path prefixes, optionally preceded by a method and a space, whose requests run at most once.
+    refusals_not_run : bool
+        Whether the targets promise that a 429 or 503 means that the request did not run.
+    retry_unknown_scores : bool
+        Whether a scoring call may be repeated when it may have run.
+    deadline_s : float
+        Longest time for one request.
+    max_queue : int
+        Requests that may wait at one target before new ones are refused.
+    """
+
+    name: str
+    kind: ServiceKind
+    model: str = ""
+    idempotent: bool = True
+    non_idempotent_paths: list[str] = attrs.field(factory=list)
+    refusals_not_run: bool = False
+    retry_unknown_scores: bool = False
+    deadline_s: float = 30.0
+    max_queue: int = 64
+
+
+@attrs.frozen
+class TargetSpec:
+    """One back end process.
+
+    Attributes
+    ----------
+    url : str
+        HTTP address of the back end, reachable from its host.
+    agent : str
+        ``ip:port`` of the agent beside it.
+    slots : int
+        Requests that it serves at the same time.
+    speed : float
+        Expected tokens a second of one stream, 0 if unknown.
+    fencing : bool
+        Whether it refuses orders with an old fencing number.
+    checks_orders : bool
+        Whether it checks who gives an order.
+    drain : bool
+        Whether it is to receive no new work.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    url: str
+    agent: str
+    slots: int = 8
+    speed: float = 0.0
+    fencing: bool = False
+    checks_orders: bool = False
+    drain: bool = False
+
+
+@attrs.frozen
+class TrainerSpec:
+    """A trainer and its share of the engines.
+
+    Attributes
+    ----------
+    share : float
+        Weight in the division of rollout capacity.
+    max_open_lots : int
+        Lots that it may have open at the same time.
+    """
+
+    name: str
+    share: float = 1.0
+    max_open_lots: int = 4
+
+
+@attrs.frozen
+class Policy:
+    """Choices that weigh the deployment's aims.
+
+    Attributes
+    ----------
+    weighting : float
+        0 counts only trainer idle time, 1 only staleness.
+    rollout_floor_share : float
+        Share of a target's slots that rollouts may use however slow ordinary requests are.
+    straggler_copies : int
+        Further copies of a sample that the end of a lot may run.
+    """
+
+    weighting: float = 0.5
+    rollout_floor_share: float = 0.1
+    straggler_copies: int = 1
+
+
+@attrs.frozen
+class Manifest:
+    """The whole configuration of a deployment."""
+
+    schema: int
+    deployment: str
+    data_centres: list[DataCentre]
+    services: list[ServiceSpec]
+    targets: list[TargetSpec]
+    models: list[ModelSpec] = attrs.field(factory=list)
+    sites: list[SiteSpec] = attrs.field(factory=list)
+    trainers: list[TrainerSpec] = attrs.field(factory=list)
+    policy: Policy = attrs.field(factory=Policy)
