--- /dev/null
+++ b/turmericreach/attempts/runner.py
@@ -0,0 +1,327 @@
+"""The gateway's side of a request: attempts, settlement and retries."""
+
+import asyncio
+from typing import Protocol
+
+import attrs
+
+from turmericreach.attempts.ids import new_attempt_id
+from turmericreach.attempts.request import CallerRequest
+from turmericreach.attempts.stream import CallerStream
+from turmericreach.routing import (
+    Choice,
+    ChoiceRequest,
+    Refusal,
+    RetryBudget,
+    RetryCounts,
+    TargetState,
+    retry_cause,
+)
+from turmericreach.rpc import (
+    Attempt,
+    PeerClient,
+    PeerDisconnected,
+    PeerError,
+    PeerFailed,
+    PeerTimeout,
+    PeerUnreachable,
+)
+from turmericreach.verdicts import ErrorCode, Outcome, Verdict
+
+__all__ = ["AttemptObserver", "Peers", "RequestRunner", "Router", "SentAttempt"]
+
+SETTLE_TIMEOUT_S = 2.0
+SETTLE_TRIES = 2
+# Time beyond the deadline in which the agent may still report the outcome itself.
+ANSWER_GRACE_S = 0.5
+SUSPECT_CHECK_S = 0.5
+BACKOFF_START_S = 0.05
+BACKOFF_MAX_S = 2.0
+FINAL_CODES = frozenset([ErrorCode.BAD_REQUEST, ErrorCode.CANCELLED, ErrorCode.UNKNOWN_SERVICE])
+
+
+class Router(Protocol):
+    """Chooses targets and learns from outcomes."""
+
+    def choose(self, request: ChoiceRequest, now: float) -> Choice | Refusal:
+        """Choose a target or refuse."""
+
+    def on_sent(self, target: str, attempt_id: str, priority: str, now: float) -> None:
+        """Note that an attempt was sent."""
+
+    def on_ended(
+        self,
+        target: str,
+        attempt_id: str,
+        outcome: Outcome,
+        latency_s: float,
+        tokens: int,
+        now: float,
+    ) -> None:
+        """Note how an attempt ended."""
+
+    def state_of(self, target: str) -> TargetState:
+        """Return what is believed about a target."""
+
+
+class Peers(Protocol):
+    """Connections to the agents."""
+
+    async def agent_of(self, target: str) -> PeerClient:
+        """Return a connection to the agent beside a target; raises `PeerUnreachable`."""
+
+    def drop_agent_of(self, target: str) -> None:
+        """Close the connection to the agent beside a target."""
+
+
+@attrs.frozen
+class SentAttempt:
+    """Address of an attempt that was sent: what is needed to settle it.
+
+    Attributes
+    ----------
+    deadline_ms : int
+        Deadline on the agent's clock.
+    """
+
+    attempt_id: str
+    target: str
+    incarnation: int
+    deadline_ms: int
+
+
+class AttemptObserver(Protocol):
+    """Told about each attempt before it is sent and about each decision."""
+
+    async def before_send(self, request: CallerRequest, sent: SentAttempt) -> Outcome | None:
+        """Return a refusal to prevent the attempt, None to send it."""
+
+    def on_decision(self, request_id: str, attempt_id: str, what: str, evidence: str) -> None:
+        """Record a decision for `explain`."""
+
+
+class RequestRunner:
+    """Runs requests at targets and repeats them only where that is safe.
+
+    Parameters
+    ----------
+    router : Router
+    peers : Peers
+    observer : AttemptObserver
+    budget : RetryBudget
+        Shared by all requests of this process.
+    """
+
+    def __init__(
+        self, router: Router, peers: Peers, observer: AttemptObserver, budget: RetryBudget
+    ):
+        self.router = router
+        self.peers = peers
+        self.observer = observer
+        self.budget = budget
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def run(self, request: CallerRequest, stream: CallerStream | None = None) -> Outcome:
+        """Run a request until it is answered or must not be repeated.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        stream : CallerStream or None
+            Receives a streamed answer; once it has begun, the request is not repeated.
+
+        Returns
+        -------
+        Outcome
+            `NOT_RUN` only if no attempt of the request ran or can still run.
+        """
+        tried: list[str] = []
+        counts = RetryCounts()
+        may_have_run = False
+        backoff_s = BACKOFF_START_S
+        while True:
+            choice = self.choose(request, tried)
+            if isinstance(choice, Refusal):
+                outcome = self.refusal(request, choice)
+                waits = await self.wait_for_target(request, choice, outcome, backoff_s)
+                if waits:
+                    backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
+                    tried.clear()
+                    continue
+                return self.final(outcome, may_have_run)
+            outcome = await self.attempt(request, choice, stream)
+            if outcome.verdict is Verdict.ANSWERED:
+                self.budget.on_success(self.now())
+                return outcome
+            tried.append(choice.target)
+            may_have_run = may_have_run or outcome.verdict is Verdict.MAY_HAVE_RUN
+            if not self.may_retry(request, outcome, stream, counts):
+                return self.final(outcome, may_have_run)
+
+    def choose(self, request: CallerRequest, tried: list[str]) -> Choice | Refusal:
+        """Choose a target that was not tried yet."""
+        wish = ChoiceRequest(
+            service=request.service,
+            priority=request.priority,
+            prefix=request.prefix,
+            min_version=request.min_version,
+            excluded=tried,
+            expected_tokens=request.expected_tokens,
+        )
+        return self.router.choose(wish, self.now())
+
+    def refusal(self, request: CallerRequest, refusal: Refusal) -> Outcome:
+        """Return the outcome of a request for which there is no target."""
+        self.observer.on_decision(request.request_id, "", f"refused: {refusal.code}", refusal.reason)
+        return Outcome(
+            Verdict.NOT_RUN,
+            code=refusal.code,
+            retry_after_s=refusal.retry_after_s,
+            evidence=f"gateway: {refusal.reason}",
+        )
+
+    async def wait_for_target(self, request, refusal, outcome, backoff_s) -> bool:
+        """Wait before choosing again; return False if the refusal is final."""
+        if refusal.code in FINAL_CODES or request.priority != "ordinary":
+            return False
+        pause_s = max(backoff_s, min(refusal.retry_after_s, BACKOFF_MAX_S))
+        if self.now() + pause_s >= request.deadline or refusal.code == ErrorCode.OVERLOADED:
+            return False
+        await asyncio.sleep(pause_s)
+        return True
+
+    def final(self, outcome: Outcome, may_have_run: bool) -> Outcome:
+        """Correct the verdict of the last attempt by what earlier attempts may have done."""
+        if may_have_run and outcome.verdict is Verdict.NOT_RUN:
+            return attrs.evolve(outcome, verdict=Verdict.MAY_HAVE_RUN)
+        return outcome
+
+    def may_retry(self, request, outcome, stream, counts) -> bool:
+        """Return whether another attempt is safe and within the budgets."""
+        if outcome.code in FINAL_CODES or self.now() >= request.deadline:
+            return False
+        if stream is not None and stream.begun:
+            return False
+        if outcome.verdict is Verdict.MAY_HAVE_RUN and not request.idempotent:
+            return False
+        cause = retry_cause(outcome)
+        allowed = self.budget.allow(cause, counts, self.now())
+        what = f"retry after {cause}" if allowed else f"no budget for a retry after {cause}"
+        self.observer.on_decision(request.request_id, "", what, outcome.evidence)
+        return allowed
+
+    async def attempt(self, request, choice: Choice, stream) -> Outcome:
+        """Make one attempt at a chosen target."""
+        attempt_id = new_attempt_id()
+        started = self.now()
+        self.router.on_sent(choice.target, attempt_id, request.priority, started)
+        outcome = Outcome(
+            Verdict.MAY_HAVE_RUN, code=ErrorCode.CANCELLED, evidence="gateway: caller left"
+        )
+        try:
+            outcome = await self.send(request, choice.target, attempt_id, stream)
+        finally:
+            now = self.now()
+            tokens = sum(segment.tokens for segment in outcome.segments)
+            self.router.on_ended(
+                choice.target, attempt_id, outcome, now - started, tokens, now
+            )
+            what = f"{choice.target}: {outcome.verdict} {outcome.code}".strip()
+            self.observer.on_decision(request.request_id, attempt_id, what, outcome.evidence)
+        return outcome
+
+    async def send(self, request, target: str, attempt_id: str, stream) -> Outcome:
+        """Send an attempt and settle it if its answer is missing."""
+        try:
+            client = await self.peers.agent_of(target)
+        except PeerUnreachable as error:
+            return Outcome(
+                Verdict.NOT_RUN,
+                code=ErrorCode.TARGET_UNREACHABLE,
+                evidence=f"gateway: nothing sent: {error}",
+            )
+        sent = SentAttempt(
+            attempt_id,
+            target,
+            client.peer.incarnation,
+            client.peer_deadline_ms(request.deadline),
+        )
+        refusal = await self.observer.before_send(request, sent)
+        if refusal is not None:
+            return refusal
+        attempt = build_attempt(request, sent, stream)
+        try:
+            return await self.submit(client, attempt, request, stream)
+        except (PeerDisconnected, PeerTimeout, PeerFailed) as error:
+            return await self.settle(request, sent, error)
+        except asyncio.CancelledError:
+            self.cancel_in_background(client, attempt_id)
+            raise
+
+    async def submit(self, client: PeerClient, attempt: Attempt, request, stream) -> Outcome:
+        """Submit an attempt; an idempotent one is given up when its agent becomes suspect."""
+        timeout_s = max(0.0, request.deadline - self.now()) + ANSWER_GRACE_S
+        call = asyncio.ensure_future(client.submit(attempt, timeout_s, stream))
+        try:
+            while True:
+                done, _ = await asyncio.wait([call], timeout=SUSPECT_CHECK_S)
+                if done:
+                    return call.result()
+                if not request.idempotent:
+                    continue
+                if self.router.state_of(attempt.target) in (TargetState.SUSPECT, TargetState.GONE):
+                    raise PeerTimeout(f"agent of {attempt.target} is not heard from")
+        finally:
+            call.cancel()
+
+    def cancel_in_background(self, client: PeerClient, attempt_id: str) -> None:
+        """Tell the agent that the result is no longer needed."""
+        task = asyncio.ensure_future(client.cancel(attempt_id, SETTLE_TIMEOUT_S))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+    async def settle(self, request: CallerRequest, sent: SentAttempt, error: PeerError) -> Outcome:
+        """Ask the agent what became of an attempt whose answer is missing."""
+        unknown = Outcome(
+            Verdict.MAY_HAVE_RUN, code=ErrorCode.TIMEOUT, evidence=f"gateway: {error}"
+        )
+        # The old connection may be the fault, and a later message on it could still arrive.
+        self.peers.drop_agent_of(sent.target)
+        for _ in range(SETTLE_TRIES):
+            wait_s = 0.0 if request.idempotent else max(0.0, request.deadline - self.now())
+            try:
+                client = await self.peers.agent_of(sent.target)
+                return await client.settle(
+                    sent.attempt_id,
+                    sent.incarnation,
+                    sent.deadline_ms,
+                    wait_s,
+                    wait_s + SETTLE_TIMEOUT_S,
+                )
+            except PeerError as failure:
+                unknown = attrs.evolve(unknown, evidence=f"{unknown.evidence}; settle: {failure}")
+                self.peers.drop_agent_of(sent.target)
+        return unknown
+
+
+def build_attempt(request: CallerRequest, sent: SentAttempt, stream) -> Attempt:
+    """Return the message for one attempt of a request."""
+    return Attempt(
+        request_id=request.request_id,
+        attempt_id=sent.attempt_id,
+        target=sent.target,
+        incarnation=sent.incarnation,
+        deadline_ms=sent.deadline_ms,
+        idempotent=request.idempotent,
+        priority=request.priority,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        stream=stream is not None,
+        lot=request.lot,
+        trainer=request.trainer,
+        min_version=request.min_version,
+    )
--- /dev/null
+++ b/turmericreach/httpclient/session.py
@@ -0,0 +1,53 @@
+"""Creation of HTTP client sessions."""
+
+import ssl as ssl_module
+
+import aiohttp
+
+__all__ = ["open_session"]
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+def open_session(
+    *,
+    reuse: bool = True,
+    ssl: ssl_module.SSLContext | None = None,
+    max_connections: int = 0,
+    total_timeout_s: float | None = None,
+) -> aiohttp.ClientSession:
+    """Open a session that never repeats a request by itself.
+
+    Callers pass ``allow_redirects=False``: a redirect would send an order a second time.
+
+    Parameters
+    ----------
+    reuse : bool
+        Whether connections are kept open. A server may close a kept connection just as a request
+        is sent, which leaves unknown whether it ran, so non-idempotent requests use ``False``.
+    ssl : ssl.SSLContext or None
+        Context for ``https`` addresses.
+    max_connections : int
+        Connections open at the same time, 0 for no limit.
+    total_timeout_s : float or None
+        Longest time for a whole request in seconds.
+
+    Returns
+    -------
+    aiohttp.ClientSession
+    """
+    connector = aiohttp.TCPConnector(
+        limit=max_connections,
+        force_close=not reuse,
+        ssl=ssl if ssl is not None else True,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=total_timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+        auto_decompress=False,
+    )
+    # aiohttp offers no public switch for its retry of idempotent methods on reused connections.
+    # tests/httpclient counts arrivals, so a release that renames the attribute fails there.
+    session._retry_connection = False
+    return session
--- a/turmericreach/rpc/client.py
+++ b/turmericreach/rpc/client.py
@@ -59,15 +59,25 @@
     ----------
     peer : Hello
         Identity that the peer gave when the connection opened.
+    connected_at : float
+        Loop time just before the identities were exchanged, in seconds.
     """
 
-    def __init__(self, stream, client, daemon, peer: Hello):
+    def __init__(self, stream, client, daemon, peer: Hello, connected_at: float):
         self.stream = stream
         self.client = client
         self.daemon = daemon
         self.peer = peer
+        self.connected_at = connected_at
         self.closed = False
 
+    def peer_deadline_ms(self, deadline: float) -> int:
+        """Convert a deadline on the loop's clock to the peer's clock.
+
+        The result is late by at most the round trip of the hello.
+        """
+        return self.peer.clock_ms + max(0, int((deadline - self.connected_at) * 1000))
+
     @classmethod
     async def connect(cls, host: str, port: int, hello: Hello, ssl=None) -> "PeerClient":
         """Open a connection and exchange identities.
@@ -83,6 +93,7 @@
                 stream = await capnp.AsyncIoStream.create_connection(host, port, **options)
         except (OSError, TimeoutError) as error:
             raise PeerUnreachable(f"cannot connect to {host}:{port}: {error}") from error
+        connected_at = asyncio.get_running_loop().time()
         client = capnp.TwoPartyClient(stream)
         daemon = client.bootstrap().cast_as(inner.Daemon)
         try:
@@ -91,7 +102,7 @@
         except (capnp.KjException, TimeoutError) as error:
             stream.close()
             raise PeerUnreachable(f"no hello from {host}:{port}: {error}") from error
-        return cls(stream, client, daemon, messages.read_hello(reply.hello))
+        return cls(stream, client, daemon, messages.read_hello(reply.hello), connected_at)
 
     async def call(self, promise, timeout_s):
         """Wait for a call's answer and translate its errors."""
@@ -107,7 +118,7 @@
             raise PeerDisconnected(f"{self.peer.name}: {error.description}") from error
 
     async def submit(
-        self, attempt: Attempt, handler: ChunkHandler | None = None, timeout_s: float | None = None
+        self, attempt: Attempt, timeout_s: float, handler: ChunkHandler | None = None
     ) -> Outcome:
         """Run an attempt at the peer's target.
 
@@ -119,15 +130,19 @@
         request = self.daemon.submit_request()
         messages.fill_attempt(request.init("attempt"), attempt)
         request.sink = SinkServer(handler or DiscardChunks())
-        limit_s = attempt.remaining_s if timeout_s is None else timeout_s
-        reply = await self.call(request.send(), limit_s)
+        reply = await self.call(request.send(), timeout_s)
         return messages.read_outcome(reply.outcome)
 
     async def settle(
-        self, attempt_id: str, incarnation: int, wait_s: float, timeout_s: float
+        self,
+        attempt_id: str,
+        incarnation: int,
+        deadline_ms: int,
+        wait_s: float,
+        timeout_s: float,
     ) -> Outcome:
         """Ask whether an attempt ran; an attempt that did not start is revoked."""
-        promise = self.daemon.settle(attempt_id, incarnation, int(wait_s * 1000))
+        promise = self.daemon.settle(attempt_id, incarnation, deadline_ms, int(wait_s * 1000))
         reply = await self.call(promise, timeout_s)
         return messages.read_outcome(reply.outcome)
 
--- a/turmericreach/rpc/inner.capnp
+++ b/turmericreach/rpc/inner.capnp
@@ -23,8 +23,8 @@
   attemptId @1 :Text;
   target @2 :Text;
   incarnation @3 :UInt64;
-  # Relative, because the clocks of two hosts differ.
-  remainingMs @4 :UInt32;
+  # On the clock of the agent, which its hello reported. A delayed message keeps its deadline.
+  deadlineMs @4 :UInt64;
   idempotent @5 :Bool;
   priority @6 :Text;
   method @7 :Text;
@@ -56,6 +56,8 @@
   dataCentre @3 :Text;
   incarnation @4 :UInt64;
   generation @5 :UInt64;
+  # Milliseconds on the sender's monotonic clock.
+  clockMs @6 :UInt64;
 }
 
 interface ChunkSink {
@@ -66,7 +68,7 @@
 interface Daemon {
   hello @0 (hello :Hello) -> (hello :Hello);
   submit @1 (attempt :Attempt, sink :ChunkSink) -> (outcome :Outcome);
-  settle @2 (attemptId :Text, incarnation :UInt64, waitMs :UInt32) -> (outcome :Outcome);
+  settle @2 (attemptId :Text, incarnation :UInt64, deadlineMs :UInt64, waitMs :UInt32) -> (outcome :Outcome);
   cancel @3 (attemptId :Text) -> ();
   # Control messages: `kind` names a registered message type, `body` is its JSON encoding.
   control @4 (kind :Text, body :Data) -> (body :Data);
--- a/turmericreach/rpc/messages.py
+++ b/turmericreach/rpc/messages.py
@@ -33,6 +33,7 @@
     incarnation: int
     generation: int = 0
     protocol: int = PROTOCOL_VERSION
+    clock_ms: int = 0
 
 
 @attrs.frozen
@@ -47,8 +48,8 @@
         Unique to this attempt; an attempt is sent once.
     incarnation : int
         Agent process the attempt is addressed to; another one refuses it.
-    remaining_s : float
-        Seconds until the deadline at the time of sending.
+    deadline_ms : int
+        Deadline on the monotonic clock of the agent, in milliseconds.
     min_version : int
         Lowest weight version that may serve the attempt, 0 for any.
     """
@@ -57,7 +58,7 @@
     attempt_id: str
     target: str
     incarnation: int
-    remaining_s: float
+    deadline_ms: int
     idempotent: bool = True
     priority: str = "ordinary"
     method: str = "GET"
@@ -88,7 +89,7 @@
     builder.attemptId = attempt.attempt_id
     builder.target = attempt.target
     builder.incarnation = attempt.incarnation
-    builder.remainingMs = max(0, int(attempt.remaining_s * 1000))
+    builder.deadlineMs = attempt.deadline_ms
     builder.idempotent = attempt.idempotent
     builder.priority = attempt.priority
     builder.method = attempt.method
@@ -108,7 +109,7 @@
         attempt_id=reader.attemptId,
         target=reader.target,
         incarnation=reader.incarnation,
-        remaining_s=reader.remainingMs / 1000,
+        deadline_ms=reader.deadlineMs,
         idempotent=reader.idempotent,
         priority=reader.priority,
         method=reader.method,
@@ -164,6 +165,7 @@
         dataCentre=hello.data_centre,
         incarnation=hello.incarnation,
         generation=hello.generation,
+        clockMs=hello.clock_ms,
     )
 
 
@@ -176,4 +178,5 @@
         incarnation=reader.incarnation,
         generation=reader.generation,
         protocol=reader.protocol,
+        clock_ms=reader.clockMs,
     )
--- a/turmericreach/rpc/server.py
+++ b/turmericreach/rpc/server.py
@@ -40,7 +40,9 @@
     async def submit(self, attempt: Attempt, writer: ChunkWriter) -> Outcome:
         """Run an attempt at a target of this host."""
 
-    async def settle(self, attempt_id: str, incarnation: int, wait_s: float) -> Outcome:
+    async def settle(
+        self, attempt_id: str, incarnation: int, deadline_ms: int, wait_s: float
+    ) -> Outcome:
         """Establish whether an attempt ran, revoking it if it did not start."""
 
     async def cancel(self, attempt_id: str) -> None:
@@ -65,9 +67,9 @@
         outcome = await self.handler.submit(messages.read_attempt(attempt), ChunkWriter(sink))
         return messages.build_outcome(outcome)
 
-    async def settle(self, attemptId, incarnation, waitMs, **kwargs):  # noqa: N803
+    async def settle(self, attemptId, incarnation, deadlineMs, waitMs, **kwargs):  # noqa: N803
         """Settle an attempt."""
-        outcome = await self.handler.settle(attemptId, incarnation, waitMs / 1000)
+        outcome = await self.handler.settle(attemptId, incarnation, deadlineMs, waitMs / 1000)
         return messages.build_outcome(outcome)
 
     async def cancel(self, attemptId, **kwargs):  # noqa: N803
