--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -175,7 +175,9 @@
 
     def refusal(self, request: CallerRequest, refusal: Refusal) -> Outcome:
         """Return the outcome of a request for which there is no target."""
-        self.observer.on_decision(request.request_id, "", f"refused: {refusal.code}", refusal.reason)
+        self.observer.on_decision(
+            request.request_id, "", f"refused: {refusal.code}", refusal.reason
+        )
         return Outcome(
             Verdict.NOT_RUN,
             code=refusal.code,
@@ -226,9 +228,7 @@
         finally:
             now = self.now()
             tokens = sum(segment.tokens for segment in outcome.segments)
-            self.router.on_ended(
-                choice.target, attempt_id, outcome, now - started, tokens, now
-            )
+            self.router.on_ended(choice.target, attempt_id, outcome, now - started, tokens, now)
             what = f"{choice.target}: {outcome.verdict} {outcome.code}".strip()
             self.observer.on_decision(request.request_id, attempt_id, what, outcome.evidence)
         return outcome
--- a/turmericreach/attempts/table.py
+++ b/turmericreach/attempts/table.py
@@ -10,7 +10,11 @@
 
 __all__ = ["AttemptEntry", "AttemptState", "AttemptTable", "DuplicateAttempt"]
 
+# A refused or revoked attempt is remembered for this long after its deadline. A settlement that
+# comes later than that cannot be answered from the absence of a record.
 KEEP_S = 60.0
+# Outcomes of non-idempotent attempts answer resubmissions by the caller, which come later.
+KEEP_NON_IDEMPOTENT_S = 3600.0
 # An attempt that arrives with a deadline beyond this is refused, because its revocation could not
 # be remembered for long enough.
 MAX_DEADLINE_S = 3600.0
@@ -37,6 +41,8 @@
         Set when the state is `DONE` or `REVOKED`.
     answer_kept : bool
         False if the answer was streamed and cannot be given again.
+    keep_s : float
+        Seconds after the deadline for which the entry is kept.
     """
 
     attempt_id: str
@@ -44,6 +50,7 @@
     state: AttemptState = AttemptState.QUEUED
     outcome: Outcome | None = None
     answer_kept: bool = True
+    keep_s: float = KEEP_S
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -112,7 +119,8 @@
             return self.refuse(ErrorCode.DEADLINE_EXCEEDED, "arrived after its deadline")
         if deadline > now + MAX_DEADLINE_S:
             return self.refuse(ErrorCode.BAD_REQUEST, "deadline too far in the future")
-        entry = AttemptEntry(attempt.attempt_id, deadline)
+        keep_s = KEEP_S if attempt.idempotent else KEEP_NON_IDEMPOTENT_S
+        entry = AttemptEntry(attempt.attempt_id, deadline, keep_s=keep_s)
         self.entries[attempt.attempt_id] = entry
         return entry
 
@@ -180,8 +188,10 @@
                 ErrorCode.STALE_INCARNATION, "cannot know what a former incarnation started"
             )
         entry = self.entries.get(attempt_id)
+        if entry is None and now >= deadline_ms / 1000 + KEEP_S:
+            return self.unknown(ErrorCode.DEADLINE_EXCEEDED, "the record has expired")
         if entry is None:
-            entry = AttemptEntry(attempt_id, max(deadline_ms / 1000, now))
+            entry = AttemptEntry(attempt_id, deadline_ms / 1000)
             self.entries[attempt_id] = entry
             return self.revoke(entry, reason="never arrived; revoked")
         if entry.state is AttemptState.QUEUED:
@@ -191,11 +201,11 @@
         return self.result(entry)
 
     def expire(self, now: float) -> None:
-        """Forget attempts whose deadline passed more than `KEEP_S` ago."""
+        """Forget ended attempts that no longer have to be kept."""
         for attempt_id, entry in list(self.entries.items()):
             if entry.state is AttemptState.STARTED or entry.state is AttemptState.QUEUED:
                 continue
-            if now < entry.deadline + KEEP_S:
+            if now < entry.deadline + entry.keep_s:
                 continue
             del self.entries[attempt_id]
 
--- /dev/null
+++ b/turmericreach/httpserver/__init__.py
@@ -0,0 +1,14 @@
+"""The HTTP door: connection limits, request limits and error answers."""
+
+from turmericreach.httpserver.body import read_body, read_json
+from turmericreach.httpserver.errors import error_response, json_response
+from turmericreach.httpserver.server import HttpServer, bind_socket
+
+__all__ = [
+    "HttpServer",
+    "bind_socket",
+    "error_response",
+    "json_response",
+    "read_body",
+    "read_json",
+]
--- /dev/null
+++ b/turmericreach/httpserver/server.py
@@ -0,0 +1,139 @@
+"""An HTTP server with limits on connections and slow senders."""
+
+import asyncio
+import contextlib
+import socket
+import ssl as ssl_module
+
+import attrs
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from turmericreach.settings.schema import LimitSettings
+
+__all__ = ["HttpServer", "bind_socket"]
+
+BACKLOG = 1024
+START_CHECK_S = 0.01
+
+
+def bind_socket(ip: str, port: int) -> socket.socket:
+    """Open a listening socket; raises `OSError` if the address is in use."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((ip, port))
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    listener.setblocking(False)
+    return listener
+
+
+def make_protocol(limits: LimitSettings) -> type[HttpToolsProtocol]:
+    """Return a connection class that enforces the limits before a request is complete."""
+
+    class LimitedProtocol(HttpToolsProtocol):
+        """Closes surplus connections and those whose request head does not arrive in time."""
+
+        head_timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport):
+            """Start the timer of the first request head."""
+            super().connection_made(transport)
+            if len(self.connections) > limits.max_connections:
+                transport.close()
+                return
+            self.start_head_timer()
+
+        def data_received(self, data):
+            """Start the timer when a further request begins on a kept connection."""
+            if self.head_timer is None and (self.cycle is None or self.cycle.response_complete):
+                self.start_head_timer()
+            super().data_received(data)
+
+        def on_headers_complete(self):
+            """Stop the timer."""
+            self.stop_head_timer()
+            super().on_headers_complete()
+
+        def connection_lost(self, exc):
+            """Stop the timer."""
+            self.stop_head_timer()
+            super().connection_lost(exc)
+
+        def start_head_timer(self):
+            """Close the connection unless a request head arrives in time."""
+            self.head_timer = self.loop.call_later(
+                limits.slow_sender_timeout_s, self.transport.close
+            )
+
+        def stop_head_timer(self):
+            """Stop waiting for a request head."""
+            if self.head_timer is not None:
+                self.head_timer.cancel()
+                self.head_timer = None
+
+    return LimitedProtocol
+
+
+class QuietServer(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    def capture_signals(self):
+        """Install no signal handlers."""
+        return contextlib.nullcontext()
+
+
+@attrs.define
+class HttpServer:
+    """Serves an ASGI application on a bound socket.
+
+    Attributes
+    ----------
+    stop_timeout_s : float
+        Longest time that `stop` waits for requests in flight, in seconds.
+    ssl_context : ssl.SSLContext or None
+        Context for TLS; None serves plain HTTP.
+    """
+
+    app: object
+    listener: socket.socket
+    limits: LimitSettings
+    stop_timeout_s: float
+    ssl_context: ssl_module.SSLContext | None = None
+    server: uvicorn.Server | None = None
+    task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Start serving and return once requests are accepted."""
+        options = {}
+        if self.ssl_context is not None:
+            options["ssl_context_factory"] = lambda config, default: self.ssl_context
+        config = uvicorn.Config(
+            self.app,
+            http=make_protocol(self.limits),
+            ws="none",
+            loop="none",
+            lifespan="on",
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            date_header=False,
+            timeout_graceful_shutdown=max(1, int(self.stop_timeout_s)),
+            **options,
+        )
+        self.server = QuietServer(config)
+        self.task = asyncio.ensure_future(self.server.serve([self.listener]))
+        while not self.server.started and not self.task.done():
+            await asyncio.sleep(START_CHECK_S)
+        if self.task.done():
+            self.task.result()
+
+    async def stop(self) -> None:
+        """Stop accepting, wait for requests in flight, close."""
+        if self.server is None:
+            return
+        self.server.should_exit = True
+        await self.task
