--- /dev/null
+++ b/turmericreach/api/__init__.py
@@ -0,0 +1,35 @@
+"""Messages of the HTTP interface, shared by the gateway and the client."""
+
+from turmericreach.api.headers import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    IDEMPOTENT_HEADER,
+    REQUEST_ID_HEADER,
+    SITE_HEADER,
+    VERDICT_HEADER,
+)
+from turmericreach.api.messages import (
+    AckRequest,
+    AnnounceRequest,
+    DeclareAnswer,
+    DrainRequest,
+    LotStatus,
+    PullAnswer,
+    PullRequest,
+)
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "IDEMPOTENCY_KEY_HEADER",
+    "IDEMPOTENT_HEADER",
+    "REQUEST_ID_HEADER",
+    "SITE_HEADER",
+    "VERDICT_HEADER",
+    "AckRequest",
+    "AnnounceRequest",
+    "DeclareAnswer",
+    "DrainRequest",
+    "LotStatus",
+    "PullAnswer",
+    "PullRequest",
+]
--- a/turmericreach/attempts/stream.py
+++ b/turmericreach/attempts/stream.py
@@ -1,10 +1,11 @@
 """Passing a streamed answer on to the caller with bounded memory."""
 
 import asyncio
+import collections
 
 __all__ = ["CallerStream"]
 
-# Chunks that wait for a slow caller; the agent stops sending when the window is full.
+# Chunks that wait for a slow caller; the agent stops sending when its window is full as well.
 MAX_WAITING_CHUNKS = 8
 
 
@@ -15,14 +16,19 @@
     ----------
     begun : bool
         Whether the status line has arrived; the request cannot be repeated after that.
+    started : asyncio.Event
+        Set when `begun` becomes true or the attempt ends.
     """
 
     def __init__(self):
         self.begun = False
+        self.ended = False
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.started = asyncio.Event()
-        self.chunks: asyncio.Queue[bytes] = asyncio.Queue(MAX_WAITING_CHUNKS)
+        self.readable = asyncio.Event()
+        self.writable = asyncio.Event()
+        self.chunks: collections.deque[bytes] = collections.deque()
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Take the status line and headers of the target."""
@@ -33,4 +39,24 @@
 
     async def write(self, data: bytes) -> None:
         """Take one chunk; waits while the caller is slow."""
-        await self.chunks.put(data)
+        while len(self.chunks) >= MAX_WAITING_CHUNKS:
+            self.writable.clear()
+            await self.writable.wait()
+        self.chunks.append(data)
+        self.readable.set()
+
+    def end(self) -> None:
+        """Note that no further chunk will come."""
+        self.ended = True
+        self.started.set()
+        self.readable.set()
+
+    async def next_chunk(self) -> bytes | None:
+        """Return the next chunk, or None at the end."""
+        while not self.chunks:
+            if self.ended:
+                return None
+            self.readable.clear()
+            await self.readable.wait()
+        self.writable.set()
+        return self.chunks.popleft()
--- /dev/null
+++ b/turmericreach/httpserver/disconnect.py
@@ -0,0 +1,59 @@
+"""Cancelling a request whose caller has disconnected."""
+
+import asyncio
+
+__all__ = ["CancelOnDisconnect"]
+
+
+class CancelOnDisconnect:
+    """ASGI wrapper that cancels the application when the caller closes the connection.
+
+    uvicorn ignores writes to a closed connection, so without this an abandoned stream would keep
+    its slot at the target until its end.
+
+    Parameters
+    ----------
+    app : callable
+        ASGI application.
+    """
+
+    def __init__(self, app):
+        self.app = app
+
+    async def __call__(self, scope, receive, send):
+        """Run the application."""
+        if scope["type"] != "http":
+            await self.app(scope, receive, send)
+            return
+        body_read = asyncio.Event()
+
+        async def receive_body():
+            message = await receive()
+            if message["type"] == "http.disconnect" or not message.get("more_body", False):
+                body_read.set()
+            return message
+
+        run = asyncio.ensure_future(self.app(scope, receive_body, send))
+        watch = asyncio.ensure_future(wait_for_disconnect(body_read, receive))
+        try:
+            await asyncio.wait([run, watch], return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            run.cancel()
+            raise
+        finally:
+            watch.cancel()
+        if not run.done():
+            run.cancel()
+        try:
+            await run
+        except asyncio.CancelledError:
+            return
+
+
+async def wait_for_disconnect(body_read: asyncio.Event, receive) -> None:
+    """Return when the caller has disconnected after its body was read."""
+    await body_read.wait()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
--- a/turmericreach/httpserver/server.py
+++ b/turmericreach/httpserver/server.py
@@ -14,7 +14,6 @@
 __all__ = ["HttpServer", "bind_socket"]
 
 BACKLOG = 1024
-START_CHECK_S = 0.01
 
 
 def bind_socket(ip: str, port: int) -> socket.socket:
@@ -79,7 +78,22 @@
 
 
 class QuietServer(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
+    """A server that leaves signals to the daemon.
+
+    Attributes
+    ----------
+    ready : asyncio.Event
+        Set when connections are accepted.
+    """
+
+    def __init__(self, config):
+        super().__init__(config)
+        self.ready = asyncio.Event()
+
+    async def startup(self, sockets=None):
+        """Start listening."""
+        await super().startup(sockets)
+        self.ready.set()
 
     def capture_signals(self):
         """Install no signal handlers."""
@@ -126,8 +140,9 @@
         )
         self.server = QuietServer(config)
         self.task = asyncio.ensure_future(self.server.serve([self.listener]))
-        while not self.server.started and not self.task.done():
-            await asyncio.sleep(START_CHECK_S)
+        ready = asyncio.ensure_future(self.server.ready.wait())
+        await asyncio.wait([ready, self.task], return_when=asyncio.FIRST_COMPLETED)
+        ready.cancel()
         if self.task.done():
             self.task.result()
 
