Add the stand-in of the object API

Cause: the object store client, the configuration and the claims need an object API to be tested against, and no outside system may be started.

Ruled out: answering with an error in place of a lost answer. The client must meet a connection that closes after the write, so a thin ASGI wrapper closes the transport; uvicorn would otherwise answer 500.

Change: turmericreach_standins with the shared parts (faults, rate limits, lagging values, serving in a process or in a test's loop) and the objects stand-in: conditional updates, watches with a bounded history, host list, call counts and faults.

--- /dev/null
+++ b/turmericreach_standins/__main__.py
@@ -0,0 +1,5 @@
+"""Entry of ``python -m turmericreach_standins``."""
+
+from turmericreach_standins.main import run
+
+run()
