--- a/turmericreach_standins/common/serving.py
+++ b/turmericreach_standins/common/serving.py
@@ -30,6 +30,7 @@
         self.dropped = False
         self.complete = False
         self.declared_extra = 0
+        self.on_close = []
         self.disconnected = asyncio.Event()
 
     @property
@@ -118,6 +119,8 @@
         finally:
             watcher.cancel()
             task.cancel()
+            for callback in self.on_close:
+                callback()
             if self.dropped:
                 await self.wait_closed()
 
