--- a/tests/standins/calls.py
+++ b/tests/standins/calls.py
@@ -52,3 +52,17 @@
 async def set_faults(server, **faults):
     status, _, _ = await call(server, "POST", "/standin/faults", faults)
     assert status == 200
+
+
+async def until(probe, *arguments):
+    """Call an async probe until it returns something true."""
+    for _ in range(500):
+        if found := await probe(*arguments):
+            return found
+        await asyncio.sleep(0.01)
+    raise AssertionError(f"{probe} stayed false")
+
+
+async def running_of(server):
+    """Return how many executions the load report shows."""
+    return (await call(server, "GET", "/v1/load"))[2]["running"]
--- a/turmericreach_standins/engine/app.py
+++ b/turmericreach_standins/engine/app.py
@@ -184,6 +184,7 @@
             if error.retry_after_s is not None:
                 shown["retry_after_s"] = error.retry_after_s
             return json_response({**weights.shown(), "error": shown}, error.status)
+        await self.faults.wait_unfrozen()
         return json_response(weights.shown())
 
     async def version(self, _request):
--- a/turmericreach_standins/objects/app.py
+++ b/turmericreach_standins/objects/app.py
@@ -32,7 +32,19 @@
 
 @attrs.define
 class ObjectsSettings:
-    """Options of the object API stand-in."""
+    """Options of the object API stand-in.
+
+    Parameters
+    ----------
+    writes_per_s : float
+        Rate limit of writes; 0 means none.
+    reads_per_s : float
+        Rate limit of reads and of new watches; 0 means none.
+    host_lag_s : float
+        Seconds until a change of the host list is visible.
+    history : int
+        Events that are kept for watches.
+    """
 
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
