Add the routing policy

Cause: gateways need a target choice that stays sound while load reports lag, targets stop and engines differ in speed.

Ruled out: a pass over all targets for each choice, since its cost grows with the fleet; subtracting attempts that ended since a report, since the load in outcomes already covers it; closing a breaker on a late success of an attempt sent before it opened, since that says nothing about the target now.

--- /dev/null
+++ b/turmericreach/routing/model.py
@@ -0,0 +1,132 @@
+"""Inputs and results of a target choice."""
+
+import enum
+import math
+
+import attrs
+
+from turmericreach.verdicts import ErrorCode
+
+__all__ = ["Choice", "ChoiceRequest", "LoadReport", "Refusal", "RoutingPolicy", "TargetState"]
+
+
+class TargetState(enum.StrEnum):
+    """What a daemon believes about a target; only `LIVE` targets are chosen."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    GONE = "gone"
+
+
+@attrs.frozen
+class LoadReport:
+    """What an agent says about one target.
+
+    Attributes
+    ----------
+    version : int
+        Real weight version, 0 for plain services.
+    reported_at : float
+        Time of the report in seconds of the reader's clock.
+    """
+
+    target: str
+    state: TargetState = attrs.field(converter=TargetState)
+    version: int
+    running: int
+    waiting: int
+    slots: int
+    reported_at: float
+
+
+@attrs.frozen
+class ChoiceRequest:
+    """What a request needs from its target.
+
+    Attributes
+    ----------
+    prefix : str
+        Key of the prompt prefix that the request shares with others, empty for none.
+    excluded : frozenset of str
+        Targets that must not be chosen, such as those already tried.
+    expected_tokens : int
+        Tokens to generate, 0 for requests without tokens.
+    latest_finish_at : float
+        Time in seconds; a target expected to finish later is not chosen.
+    prefix_tokens : int
+        Length of the prefix, 0 if unknown.
+    """
+
+    service: str
+    priority: str = "ordinary"
+    prefix: str = ""
+    min_version: int = 0
+    excluded: frozenset[str] = attrs.field(default=frozenset(), converter=frozenset)
+    expected_tokens: int = 0
+    latest_finish_at: float = math.inf
+    prefix_tokens: int = 0
+
+
+@attrs.frozen
+class Choice:
+    """A chosen target and the reason for `explain`."""
+
+    target: str
+    reason: str
+
+
+@attrs.frozen
+class Refusal:
+    """No target can be chosen now; the request did not run."""
+
+    code: ErrorCode
+    retry_after_s: float
+    reason: str
+
+
+@attrs.frozen
+class RoutingPolicy:
+    """Constants of the target choice.
+
+    Attributes
+    ----------
+    samples_per_tier : int
+        Random candidates from the same data centre, from the region and from elsewhere.
+    region_penalty_s, remote_penalty_s : float
+        Seconds added for a target in another data centre and in another region.
+    default_speed : float
+        Tokens a second of one stream of a target whose speed is unknown.
+    default_latency_s : float
+        Latency of a request without tokens at a target that has answered none.
+    ewma_weight : float
+        Weight of a new sample in the learned speed and latency.
+    batch_slowdown : float
+        Relative slowdown of one stream in a full batch.
+    waiting_weight : float
+        Weight of waiting requests of a model target for an ordinary request, which overtakes
+        waiting rollouts.
+    prefill_speedup : float
+        Prefill speed over generation speed.
+    prefix_ttl_s, prefix_entries
+        Age, and number at each target, up to which a cached prefix is assumed to exist.
+    max_backoff_s : float
+        Longest time that a refusal for overload keeps a class away from a target.
+    """
+
+    samples_per_tier: int = 2
+    region_penalty_s: float = 0.01
+    remote_penalty_s: float = 0.1
+    default_speed: float = 50.0
+    default_latency_s: float = 0.05
+    ewma_weight: float = 0.2
+    batch_slowdown: float = 0.5
+    waiting_weight: float = 0.25
+    prefill_speedup: float = 20.0
+    default_prefix_tokens: int = 256
+    prefix_ttl_s: float = 120.0
+    prefix_entries: int = 256
+    max_backoff_s: float = 5.0
+    breaker_threshold: int = 5
+    breaker_open_s: float = 1.0
+    breaker_max_open_s: float = 30.0
