--- /dev/null
+++ b/tests/limits/test_window.py
@@ -0,0 +1,77 @@
+"""Steering of the rollout limit by the latency of ordinary requests."""
+
+from turmericreach.limits import RolloutWindow
+from turmericreach.manifest.schema import Policy
+
+FLOOR = Policy(rollout_floor_share=0.25)
+
+
+def run(window, start, seconds, latency):
+    """Run ordinary requests beside as many rollouts as allowed, and return the limits."""
+    limits = []
+    for now in range(start, start + seconds):
+        for index in range(10):
+            window.on_ordinary(latency(window.limit), window.limit, now + index / 10)
+        limits.append(window.update(now + 1.0))
+    return limits
+
+
+def learn(window, latency_s=0.1):
+    for index in range(50):
+        window.on_ordinary(latency_s, 0, index / 100)
+
+
+def test_limit_grows_to_all_slots_without_ordinary_requests():
+    """Guards against engines left idle at night for lack of measurements."""
+    window = RolloutWindow(8, FLOOR)
+    assert [window.update(float(now)) for now in range(1, 9)] == [3, 4, 5, 6, 7, 8, 8, 8]
+    window = RolloutWindow(8, FLOOR)
+    assert window.update(600.0) == 3
+
+
+def test_limit_stays_below_the_point_where_requests_slow_down():
+    """Guards against ordinary requests above 1.3 times their latency without rollouts."""
+    window = RolloutWindow(16, FLOOR)
+    learn(window)
+    limits = run(window, 1, 300, lambda limit: 0.1 if limit <= 8 else 0.2)
+    slow = sum(1 for limit in limits[30:] if limit > 8)
+    assert slow / len(limits[30:]) < 0.15
+    assert min(limits) >= 4
+    # Additive growth and the recovery time bound the number of swings.
+    drops = sum(1 for old, new in zip(limits, limits[1:], strict=False) if new < old)
+    assert drops <= 300 / 10
+
+
+def test_limit_never_goes_below_the_floor_and_holds_between_reductions():
+    """Guards against a collapse of the limit on one burst of slow requests."""
+    window = RolloutWindow(16, FLOOR)
+    learn(window)
+    window.limit = 16
+    limits = run(window, 1, 20, lambda _: 1.0)
+    assert limits[:6] == [8, 8, 8, 8, 8, 4]
+    assert set(limits[6:]) == {4}
+
+
+def test_latency_between_the_ratios_changes_nothing():
+    """Guards against swings around the threshold."""
+    window = RolloutWindow(16, FLOOR)
+    learn(window)
+    window.limit = 8
+    assert set(run(window, 1, 60, lambda _: 0.125)) == {8}
+
+
+def test_one_slow_request_is_no_evidence():
+    """Guards against a reduction by a single outlier in a small sample."""
+    window = RolloutWindow(16, FLOOR)
+    learn(window)
+    window.on_ordinary(5.0, 4, 1.0)
+    assert window.update(1.0) == 5
+
+
+def test_target_that_became_slower_leaves_the_floor():
+    """Guards against an outdated baseline that keeps rollouts at the floor for ever."""
+    window = RolloutWindow(16, FLOOR)
+    learn(window)
+    limits = run(window, 1, 1200, lambda _: 0.3)
+    assert limits[600] == 4
+    assert limits[-1] == 16
