--- /dev/null
+++ b/turmericreach/lots/estimates.py
@@ -0,0 +1,117 @@
+"""Expected lengths of rollouts, speeds of engines and times of new weight versions."""
+
+import collections
+import math
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["LengthModel", "SpeedModel", "VersionClock"]
+
+LONGEST_TOKENS = 1 << 24
+SIGNIFICANT_DIGITS = 2
+# Fewer observations of a group say less about its next sample than the kind does.
+GROUP_OBSERVATIONS_NEEDED = 2
+GROUP_OBSERVATIONS_KEPT = 16
+EXPECTED_PERCENTILE = 60.0
+DEFAULT_SPEED = 50.0
+SPEED_SMOOTHING = 0.2
+INTERVALS_KEPT = 8
+# A rollout that outlasts its estimate is expected to run on for half of what it has produced.
+OVERRUN_FACTOR = 1.5
+
+
+class LengthModel:
+    """Lengths in tokens, learned by kind and by prompt group; may be shared by lots."""
+
+    def __init__(self):
+        self.kinds = {}
+        self.groups = collections.OrderedDict()
+        self.max_groups = 1 << 16
+
+    def observe(self, kind, group_key, tokens):
+        """Take the length of a finished rollout."""
+        if kind not in self.kinds:
+            self.kinds[kind] = HdrHistogram(1, LONGEST_TOKENS, SIGNIFICANT_DIGITS)
+        self.kinds[kind].record_value(min(max(tokens, 1), LONGEST_TOKENS))
+        kept = self.groups.setdefault(
+            (kind, group_key), collections.deque(maxlen=GROUP_OBSERVATIONS_KEPT)
+        )
+        kept.append(tokens)
+        if len(self.groups) > self.max_groups:
+            self.groups.popitem(last=False)
+
+    def expected(self, kind, group_key, max_tokens):
+        """Return the expected length in tokens, at most `max_tokens`."""
+        kept = self.groups.get((kind, group_key), ())
+        if len(kept) >= GROUP_OBSERVATIONS_NEEDED:
+            position = math.ceil(len(kept) * EXPECTED_PERCENTILE / 100.0) - 1
+            return max(1, min(max_tokens, sorted(kept)[position]))
+        return min(max_tokens, self.of_kind(kind, max_tokens))
+
+    def of_kind(self, kind, max_tokens):
+        """Return the expected length of a rollout of a kind."""
+        histogram = self.kinds.get(kind)
+        if histogram is None:
+            return max(1, max_tokens // 2)
+        return max(1, int(histogram.get_value_at_percentile(EXPECTED_PERCENTILE)))
+
+
+class SpeedModel:
+    """Single-stream speed of each engine, learned from finished rollouts."""
+
+    def __init__(self):
+        self.speeds = {}
+
+    def observe(self, target, tokens, duration_s):
+        """Take the length and the duration of a finished rollout."""
+        if duration_s <= 0 or tokens <= 0:
+            return
+        speed = tokens / duration_s
+        old = self.speeds.get(target, speed)
+        self.speeds[target] = old + SPEED_SMOOTHING * (speed - old)
+
+    def speed(self, target, declared=0.0):
+        """Return the speed of an engine in tokens a second."""
+        return self.speeds.get(target) or declared or DEFAULT_SPEED
+
+    def duration(self, target, tokens, declared=0.0):
+        """Return the expected duration of a rollout in seconds."""
+        return tokens / self.speed(target, declared)
+
+
+@attrs.define
+class VersionClock:
+    """Observes when new versions appear and forecasts the next ones."""
+
+    version: int = 0
+    changed_at: float | None = None
+    intervals: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=INTERVALS_KEPT)
+    )
+
+    def observe(self, version, now):
+        """Take the current version; lower ones are ignored."""
+        if version <= self.version and self.changed_at is not None:
+            return
+        if self.changed_at is not None and now > self.changed_at:
+            steps = version - self.version
+            self.intervals.append((now - self.changed_at) / steps)
+        self.version = max(version, self.version)
+        self.changed_at = now
+
+    @property
+    def interval(self):
+        """Median time between new versions in seconds, infinite if unknown."""
+        if not self.intervals:
+            return math.inf
+        return sorted(self.intervals)[len(self.intervals) // 2]
+
+    def forecast(self, now, duration_s):
+        """Return the version expected `duration_s` seconds from `now`."""
+        interval = self.interval
+        if math.isinf(interval):
+            return self.version
+        # A version that is overdue is expected at any moment, not several at once.
+        elapsed = min(now - self.changed_at, interval)
+        return self.version + int((elapsed + duration_s) / interval)
