Decide which rollouts run and which samples are handed over

Ruled out: merging the cursor of each pull into the acknowledged cursor, since a trainer that restarts from a checkpoint would then never get what it consumed after the checkpoint; counting the time until the first version change as an interval, since it gave forecasts of many versions (seen in a test) when a coordinator starts just before a change.

Change: LotCoordinator with scheduling, copies, labels, delivery and the move to another coordinator, as pure decisions; tables and a hypothesis state machine.

--- /dev/null
+++ b/tests/lots/test_machine.py
@@ -0,0 +1,231 @@
+"""A trainer and two coordinators under crashes, lost answers, retries and new versions."""
+
+import random
+
+import hypothesis.strategies as st
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tests.builders.lots import engines, make_coordinator, make_spec
+from turmericreach.lots import Cursor, RolloutResult, Score
+from turmericreach.verdicts import Segment, Verdict
+
+SPEC = make_spec(groups=2, samples_per_group=2, staleness_bound=1, deadline_s=50.0)
+SIDES = st.integers(0, 1)
+DRAIN_ROUNDS = 400
+
+
+class Delivery(RuleBasedStateMachine):
+    """Checks that the trainer gets each sample once, fresh and with the engine's label."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.version = 1
+        self.seed = 0
+        self.truth = {}
+        self.scores = {}
+        self.asked = set()
+        self.platform = Cursor(SPEC.size)
+        self.consumed = Cursor(SPEC.size)
+        self.received = {}
+        self.trainer_version = 1
+        self.checkpoint = (self.consumed, {}, 1)
+        self.late = []
+        self.sides = [None, None]
+        self.tasks = [{}, {}]
+        self.scoring = [{}, {}]
+        self.handed = [{}, {}]
+        for side in (0, 1):
+            self.crash(side)
+
+    def perform(self, side, actions):
+        for action in actions:
+            if not isinstance(action, Score):
+                continue
+            self.scoring[side][action.task_id] = action.sample
+            key = (action.task_id, self.scores.get(action.task_id, 0))
+            assert key not in self.asked, "a score was requested again that may have run"
+            self.asked.add(key)
+
+    @rule(side=SIDES)
+    def crash(self, side):
+        self.seed += 1
+        self.sides[side] = make_coordinator(SPEC, self.platform, self.seed)
+        self.tasks[side], self.scoring[side], self.handed[side] = {}, {}, {}
+
+    @rule(side=SIDES)
+    def move(self, side):
+        body = self.sides[side].hand_over()
+        handed = self.handed[side]
+        self.crash(side)
+        self.perform(side, self.sides[side].take_over(body, self.now))
+        self.handed[side] = handed
+
+    @rule(source=SIDES)
+    def take_over_into_running(self, source):
+        body = self.sides[source].hand_over()
+        self.perform(1 - source, self.sides[1 - source].take_over(body, self.now))
+        self.crash(source)
+
+    @rule(side=SIDES, slots=st.integers(1, 6), lag=st.integers(0, 1))
+    def start(self, side, slots, lag):
+        view = engines(("a", self.version, 3, 20.0), ("b", max(0, self.version - lag), 3, 5.0))
+        for task in self.sides[side].next_tasks(self.now, self.version, slots, view):
+            self.tasks[side][task.task_id] = task
+
+    @rule(side=SIDES, pick=st.randoms(use_true_random=False), kind=st.integers(0, 7))
+    def end_rollout(self, side, pick, kind):
+        if not self.tasks[side]:
+            return
+        task = self.tasks[side].pop(pick.choice(sorted(self.tasks[side])))
+        self.end_task(side, task, kind)
+
+    def end_task(self, side, task, kind):
+        coordinator = self.sides[side]
+        if kind == 0:
+            verdict = Verdict.MAY_HAVE_RUN
+            self.perform(side, coordinator.on_failure(task.task_id, verdict, "crash", self.now))
+            return
+        start = max(0, self.version - kind % 2)
+        segments = [Segment(start, 5), Segment(self.version, 5)]
+        result = RolloutResult(
+            text=task.task_id,
+            tokens=11 if kind == 1 else 10,
+            segments=segments,
+            attempt_id=task.task_id,
+            started_version=start,
+            finished_version=start - 1 if kind == 2 else self.version,
+            complete=kind != 3,
+        )
+        if kind > 3:
+            self.truth[task.task_id] = (task.ordinal, segments)
+        self.perform(side, coordinator.on_result(task.task_id, result, self.now))
+        self.perform(side, coordinator.on_result(task.task_id, result, self.now))
+
+    @rule(side=SIDES, kind=st.integers(0, 4))
+    def end_score(self, side, kind):
+        if not self.scoring[side]:
+            return
+        task_id = sorted(self.scoring[side])[0]
+        del self.scoring[side][task_id]
+        coordinator = self.sides[side]
+        if kind == 0:
+            self.scores[task_id] = self.scores.get(task_id, 0) + 1
+            actions = coordinator.on_score_failure(task_id, Verdict.NOT_RUN, self.now)
+        elif kind == 1:
+            actions = coordinator.on_score_failure(task_id, Verdict.MAY_HAVE_RUN, self.now)
+        else:
+            actions = coordinator.on_score(task_id, float(len(task_id)), self.now)
+        self.perform(side, actions)
+
+    @rule(seconds=st.integers(1, 60))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(trainer=st.booleans())
+    def new_version(self, trainer):
+        self.version += 1
+        if trainer:
+            self.trainer_version = self.version
+
+    @rule(side=SIDES)
+    def give_up(self, side):
+        self.perform(side, self.sides[side].cancel_hopeless(self.now, self.version))
+
+    @rule(side=SIDES, count=st.integers(1, 4), lost=st.integers(0, 2), whole=st.booleans())
+    def pull(self, side, count, lost, whole):
+        if whole:
+            count = max(count, SPEC.samples_per_group)
+        coordinator = self.sides[side]
+        answer = coordinator.pull(self.consumed, self.trainer_version, count, self.now, whole)
+        assert len(answer.samples) <= count
+        for sample in answer.samples:
+            before = self.handed[side].get(sample.id)
+            stale = before and answer.trainer_version - before.lowest_version > 1
+            assert before is None or stale or before == sample, "a handed sample was replaced"
+            self.handed[side][sample.id] = sample
+        if lost == 0:
+            self.accept(answer)
+        elif lost == 1:
+            self.late.append(answer)
+
+    @rule()
+    def deliver_late(self):
+        if self.late:
+            self.accept(self.late.pop(0))
+
+    def accept(self, answer):
+        if answer.trainer_version < self.trainer_version:
+            return
+        for sample in answer.samples:
+            ordinal, segments = self.truth[sample.attempt_id]
+            assert sample.segments == segments and sample.text == sample.attempt_id
+            assert sample.id == SPEC.sample_id(ordinal)
+            assert sample.score == float(len(sample.attempt_id))
+            oldest = min(segment.version for segment in segments)
+            assert self.trainer_version - oldest <= SPEC.staleness_bound, "stale hand-over"
+            # A late answer may repeat a sample; the trainer's cursor filters it.
+            if self.consumed.contains(ordinal):
+                continue
+            assert sample.id not in self.received
+            self.received[sample.id] = sample
+            self.consumed = self.consumed.add(ordinal)
+
+    @rule(side=SIDES, reported=st.booleans())
+    def save(self, side, reported):
+        self.checkpoint = (self.consumed, dict(self.received), self.trainer_version)
+        if reported:
+            self.platform = self.platform.union(self.consumed)
+            self.perform(side, self.sides[side].ack(self.consumed, self.now))
+
+    @rule()
+    def restart_trainer(self):
+        self.consumed, received, self.trainer_version = self.checkpoint
+        self.received = dict(received)
+        self.late = []
+        # A restored trainer may get other samples for what it has not saved.
+        self.handed = [{}, {}]
+
+    @invariant()
+    def nothing_is_lost_or_doubled(self):
+        assert len(self.received) == self.consumed.count()
+        for coordinator in self.sides:
+            state = coordinator.state
+            for record in state.records:
+                queued = record.ordinal in state.queue[SPEC.group_of(record.ordinal)]
+                held = record.sample is not None
+                wanted = state.is_wanted(record.ordinal)
+                assert queued + held + bool(record.tasks) == 1 or not wanted
+            held = [record.sample for record in state.records if record.sample]
+            assert state.buffered_bytes == sum(len(sample.text.encode()) for sample in held)
+
+    def teardown(self):
+        """Let everything work again; every sample must arrive."""
+        side = random.Random(self.seed).randrange(2)
+        for _ in range(DRAIN_ROUNDS):
+            self.now += 5.0
+            self.give_up(side)
+            self.start(side, 6, 0)
+            for task in list(self.tasks[side].values()):
+                del self.tasks[side][task.task_id]
+                self.end_task(side, task, 4)
+            while self.scoring[side]:
+                self.end_score(side, 2)
+            self.trainer_version = max(self.trainer_version, self.sides[side].state.highest)
+            self.pull(side, 4, 0, False)
+            self.nothing_is_lost_or_doubled()
+            if self.consumed.count() == SPEC.size:
+                break
+        assert len(self.received) == SPEC.size, "samples were lost"
+        assert self.sides[side].pull(self.consumed, 0, 4, self.now).done
+
+
+TestDelivery = Delivery.TestCase
+TestDelivery.settings = settings(
+    max_examples=150,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- a/turmericreach/lots/__init__.py
+++ b/turmericreach/lots/__init__.py
@@ -1,1 +1,59 @@
-"""Placeholder."""
+"""Lots: their specs, the cursor of consumed samples, and the coordinator's decisions."""
+
+from turmericreach.lots.coordinator import LotCoordinator
+from turmericreach.lots.cursor import Cursor
+from turmericreach.lots.estimates import LengthModel, SpeedModel, VersionClock
+from turmericreach.lots.samples import (
+    Action,
+    Cancel,
+    EngineState,
+    EngineView,
+    LotProgress,
+    PullResult,
+    Regenerate,
+    RolloutResult,
+    Sample,
+    SampleTask,
+    Score,
+)
+from turmericreach.lots.spec import (
+    GroupSpec,
+    LotLimits,
+    LotSpec,
+    check_lot,
+    decode_lot,
+    encode_lot,
+    is_redeclaration,
+    join_lot,
+    lot_digest,
+    lot_objects,
+)
+
+__all__ = [
+    "Action",
+    "Cancel",
+    "Cursor",
+    "EngineState",
+    "EngineView",
+    "GroupSpec",
+    "LengthModel",
+    "LotCoordinator",
+    "LotLimits",
+    "LotProgress",
+    "LotSpec",
+    "PullResult",
+    "Regenerate",
+    "RolloutResult",
+    "Sample",
+    "SampleTask",
+    "Score",
+    "SpeedModel",
+    "VersionClock",
+    "check_lot",
+    "decode_lot",
+    "encode_lot",
+    "is_redeclaration",
+    "join_lot",
+    "lot_digest",
+    "lot_objects",
+]
--- a/turmericreach/lots/estimates.py
+++ b/turmericreach/lots/estimates.py
@@ -26,6 +26,7 @@
 
     def __init__(self):
         self.kinds = {}
+        self.kind_lengths = {}
         self.groups = collections.OrderedDict()
         self.max_groups = 1 << 16
 
@@ -34,6 +35,7 @@
         if kind not in self.kinds:
             self.kinds[kind] = HdrHistogram(1, LONGEST_TOKENS, SIGNIFICANT_DIGITS)
         self.kinds[kind].record_value(min(max(tokens, 1), LONGEST_TOKENS))
+        self.kind_lengths.pop(kind, None)
         kept = self.groups.setdefault(
             (kind, group_key), collections.deque(maxlen=GROUP_OBSERVATIONS_KEPT)
         )
@@ -54,7 +56,11 @@
         histogram = self.kinds.get(kind)
         if histogram is None:
             return max(1, max_tokens // 2)
-        return max(1, int(histogram.get_value_at_percentile(EXPECTED_PERCENTILE)))
+        # A percentile walks the whole histogram, so it is kept until the next observation.
+        if kind not in self.kind_lengths:
+            length = int(histogram.get_value_at_percentile(EXPECTED_PERCENTILE))
+            self.kind_lengths[kind] = max(1, length)
+        return self.kind_lengths[kind]
 
 
 class SpeedModel:
@@ -62,6 +68,12 @@
 
     def __init__(self):
         self.speeds = {}
+        self.declared = {}
+
+    def declare(self, target, speed):
+        """Take the speed to expect of an engine before one of its rollouts has finished."""
+        if speed > 0:
+            self.declared[target] = speed
 
     def observe(self, target, tokens, duration_s):
         """Take the length and the duration of a finished rollout."""
@@ -71,13 +83,13 @@
         old = self.speeds.get(target, speed)
         self.speeds[target] = old + SPEED_SMOOTHING * (speed - old)
 
-    def speed(self, target, declared=0.0):
+    def speed(self, target):
         """Return the speed of an engine in tokens a second."""
-        return self.speeds.get(target) or declared or DEFAULT_SPEED
+        return self.speeds.get(target) or self.declared.get(target, DEFAULT_SPEED)
 
-    def duration(self, target, tokens, declared=0.0):
+    def duration(self, target, tokens):
         """Return the expected duration of a rollout in seconds."""
-        return tokens / self.speed(target, declared)
+        return tokens / self.speed(target)
 
 
 @attrs.define
@@ -86,6 +98,7 @@
 
     version: int = 0
     changed_at: float | None = None
+    saw_change: bool = False
     intervals: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=INTERVALS_KEPT)
     )
@@ -94,9 +107,11 @@
         """Take the current version; lower ones are ignored."""
         if version <= self.version and self.changed_at is not None:
             return
-        if self.changed_at is not None and now > self.changed_at:
+        # The first version may be old already, so its time starts no interval.
+        if self.saw_change and now > self.changed_at:
             steps = version - self.version
             self.intervals.append((now - self.changed_at) / steps)
+        self.saw_change = self.changed_at is not None
         self.version = max(version, self.version)
         self.changed_at = now
 
