Load daemon settings with one-line errors

Cause: a daemon must refuse bad settings before it opens a socket, with a line that an operator can act on. Ruled out: the YAML 1.1 scalars of PyYAML (18:00 is read as 1080, no as false); aliases (a short text can expand exponentially); cattrs errors as the message (they hold no line). Change: turmericreach.documents checks YAML nodes against attrs classes, with limits declared once in field metadata; cattrs with forbid_extra_keys builds the object of a checked value. load_settings adds the checks across keys.

--- /dev/null
+++ b/turmericreach/settings/loader.py
@@ -0,0 +1,128 @@
+"""Loading of a daemon's settings from YAML."""
+
+import ipaddress
+from pathlib import Path
+
+from turmericreach.documents import CheckedDocument, Problem, check_document, structure
+from turmericreach.settings.errors import SettingsError
+from turmericreach.settings.schema import MAX_PORT, DaemonSettings, Role
+
+__all__ = ["load_settings"]
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+TOKEN_ROLES = ("trainer", "caller", "operator")
+TLS_KEYS = ("tls_certificate", "tls_key", "tls_ca")
+
+
+def load_settings(path: str | Path) -> DaemonSettings:
+    """Load and check the settings of a daemon.
+
+    Parameters
+    ----------
+    path : str or Path
+        YAML file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or has a fault.
+    """
+    source = str(path)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        problem = Problem(0, "", f"cannot be read: {error.strerror or error}")
+        raise SettingsError(source, [problem]) from None
+    except ValueError:
+        raise SettingsError(source, [Problem(0, "", "not UTF-8 text")]) from None
+    document = check_document(text, DaemonSettings)
+    if document.value:
+        check_listen(document)
+        check_addresses(document)
+        check_security(document)
+        check_platform(document)
+    if document.problems:
+        raise SettingsError(source, document.problems)
+    return structure(document.value, DaemonSettings)
+
+
+def check_listen(document: CheckedDocument) -> None:
+    """Check the addresses that the daemon listens on."""
+    listen = document.value.get("listen", {})
+    ip = listen.get("ip", "127.0.0.1")
+    if not is_ip(ip):
+        document.add("listen.ip", f"expected an IP address, found {ip!r}")
+    if document.value.get("role") != Role.GATEWAY or "listen.http_port" in document.lines:
+        if listen.get("http_port", 0) == listen.get("rpc_port", 7400):
+            document.add("listen.http_port", "expected another port than rpc_port")
+        if document.value.get("role") == Role.GATEWAY and listen.get("http_port") == 0:
+            document.add("listen.http_port", "expected a port of at least 1 for a gateway")
+        return
+    document.add("listen.http_port", "missing, a gateway requires it")
+
+
+def check_addresses(document: CheckedDocument) -> None:
+    """Check the addresses of other processes and the log level."""
+    for index, seed in enumerate(document.value.get("seeds", [])):
+        if seed is not None and not is_address(seed):
+            document.add(f"seeds[{index}]", f"expected ip:port, found {seed!r}")
+    telemetry = document.value.get("telemetry", {})
+    statsd = telemetry.get("statsd", "")
+    if statsd and not is_address(statsd):
+        document.add("telemetry.statsd", f"expected ip:port, found {statsd!r}")
+    level = telemetry.get("log_level", "info")
+    if level not in LOG_LEVELS:
+        document.add(
+            "telemetry.log_level", f"expected one of {', '.join(LOG_LEVELS)}, found {level!r}"
+        )
+
+
+def check_security(document: CheckedDocument) -> None:
+    """Check that TLS files come together and that tokens are usable."""
+    security = document.value.get("security", {})
+    given = [key for key in TLS_KEYS if security.get(key)]
+    if given and len(given) < len(TLS_KEYS):
+        missing = next(key for key in TLS_KEYS if key not in given)
+        document.add(f"security.{missing}", f"missing, required together with {given[0]}")
+    names, tokens = set(), set()
+    for index, entry in enumerate(security.get("tokens", [])):
+        if entry is None:
+            continue
+        path = f"security.tokens[{index}]"
+        if entry.get("name") in names:
+            document.add(f"{path}.name", "duplicate name of a token")
+        if entry.get("token") in tokens:
+            document.add(f"{path}.token", "duplicate token")
+        names.add(entry.get("name", index))
+        tokens.add(entry.get("token", index))
+        if entry.get("roles") == []:
+            document.add(f"{path}.roles", "expected at least one role")
+        for role in entry.get("roles", []):
+            if role is not None and role not in TOKEN_ROLES:
+                document.add(
+                    f"{path}.roles", f"expected one of {', '.join(TOKEN_ROLES)}, found {role!r}"
+                )
+
+
+def check_platform(document: CheckedDocument) -> None:
+    """Check the address of the object API."""
+    url = document.value.get("platform", {}).get("url", "")
+    if url and not url.startswith(("http://", "https://")):
+        document.add("platform.url", f"expected an http or https URL, found {url!r}")
+
+
+def is_ip(text: str) -> bool:
+    """Return whether a text is an IP address."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``ip:port``, with an IPv6 address in brackets."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit() or len(port) > 5:
+        return False
+    return 1 <= int(port) <= MAX_PORT and is_ip(host.removeprefix("[").removesuffix("]"))
--- a/turmericreach/settings/schema.py
+++ b/turmericreach/settings/schema.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmericreach.documents import bounded
+
 __all__ = [
     "DaemonSettings",
     "LimitSettings",
@@ -15,6 +17,9 @@
     "TokenSettings",
 ]
 
+NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+MAX_PORT = 65535
+
 
 class Role(enum.StrEnum):
     """What a daemon does."""
@@ -38,8 +43,8 @@
     """
 
     ip: str = "127.0.0.1"
-    rpc_port: int = 7400
-    http_port: int = 0
+    rpc_port: int = bounded(7400, minimum=1, maximum=MAX_PORT)
+    http_port: int = bounded(0, minimum=0, maximum=MAX_PORT)
 
 
 @attrs.frozen
@@ -48,7 +53,7 @@
 
     url: str = ""
     token: str = ""
-    timeout_s: float = 2.0
+    timeout_s: float = bounded(2.0, above=0)
 
 
 @attrs.frozen
@@ -67,18 +72,18 @@
         Longest time in which a request must have arrived.
     """
 
-    max_body_bytes: int = 8 * 1024 * 1024
-    max_lot_bytes: int = 64 * 1024 * 1024
-    max_connections: int = 2048
-    slow_sender_timeout_s: float = 10.0
+    max_body_bytes: int = bounded(8 * 1024 * 1024, minimum=1)
+    max_lot_bytes: int = bounded(64 * 1024 * 1024, minimum=1)
+    max_connections: int = bounded(2048, minimum=1)
+    slow_sender_timeout_s: float = bounded(10.0, above=0)
 
 
 @attrs.frozen
 class TokenSettings:
     """A bearer token and its roles (``trainer``, ``caller``, ``operator``)."""
 
-    name: str
-    token: str
+    name: str = bounded(pattern=NAME_PATTERN)
+    token: str = bounded(pattern=r"^\S+$")
     roles: list[str]
 
 
@@ -136,9 +141,9 @@
     """
 
     role: Role
-    name: str
-    data_centre: str
-    region: str = "default"
+    name: str = bounded(pattern=NAME_PATTERN)
+    data_centre: str = bounded(pattern=NAME_PATTERN)
+    region: str = bounded("default", pattern=NAME_PATTERN)
     listen: ListenSettings = attrs.field(factory=ListenSettings)
     platform: PlatformSettings = attrs.field(factory=PlatformSettings)
     limits: LimitSettings = attrs.field(factory=LimitSettings)
@@ -146,4 +151,4 @@
     telemetry: TelemetrySettings = attrs.field(factory=TelemetrySettings)
     seeds: list[str] = attrs.field(factory=list)
     data_folder: str = ""
-    stop_timeout_s: float = 60.0
+    stop_timeout_s: float = bounded(60.0, minimum=0)
