--- a/turmericreach/documents/__init__.py
+++ b/turmericreach/documents/__init__.py
@@ -1,7 +1,17 @@
 """YAML documents checked against attrs classes, with line numbers, for settings and manifest."""
 
+from turmericreach.documents.addresses import MAX_PORT, is_address, is_ip
 from turmericreach.documents.checker import CheckedDocument, check_document, structure
 from turmericreach.documents.fields import bounded
 from turmericreach.documents.problem import Problem
 
-__all__ = ["CheckedDocument", "Problem", "bounded", "check_document", "structure"]
+__all__ = [
+    "MAX_PORT",
+    "CheckedDocument",
+    "Problem",
+    "bounded",
+    "check_document",
+    "is_address",
+    "is_ip",
+    "structure",
+]
--- /dev/null
+++ b/turmericreach/manifest/diff.py
@@ -0,0 +1,71 @@
+"""Differences between two manifests."""
+
+from typing import Any
+
+import attrs
+
+from turmericreach.manifest.schema import Manifest
+
+__all__ = ["Change", "diff_manifests"]
+
+
+@attrs.frozen
+class Change:
+    """One difference.
+
+    Attributes
+    ----------
+    path : str
+        Key path; entries of named lists are addressed by name, as in ``targets[t1].slots``.
+    old, new : object
+        Values before and after; None where there is none.
+    """
+
+    path: str
+    old: Any
+    new: Any
+
+
+def diff_manifests(old: Manifest | None, new: Manifest | None) -> list[Change]:
+    """Return the differences from one manifest to another, in the order of the schema.
+
+    The order of entries in a named list carries no meaning and is no difference.
+    """
+    changes: list[Change] = []
+    compare("", dump(old), dump(new), changes)
+    return changes
+
+
+def dump(manifest: Manifest | None) -> dict[str, Any]:
+    """Return a manifest as plain values."""
+    return {} if manifest is None else attrs.asdict(manifest)
+
+
+def compare(path: str, old: Any, new: Any, changes: list[Change]) -> None:
+    """Add the differences between two plain values."""
+    if old == new:
+        return
+    old_items, new_items = named_items(old), named_items(new)
+    if old_items is None or new_items is None:
+        changes.append(Change(path, old, new))
+        return
+    for key in list(old_items) + [key for key in new_items if key not in old_items]:
+        compare(join(path, key, new), old_items.get(key), new_items.get(key), changes)
+
+
+def named_items(value: Any) -> dict[str, Any] | None:
+    """Return the items of a mapping or of a list of named entries, None for other values."""
+    if isinstance(value, dict):
+        return value
+    if not isinstance(value, list):
+        return None
+    if not all(isinstance(entry, dict) and "name" in entry for entry in value):
+        return None
+    return {entry["name"]: entry for entry in value}
+
+
+def join(path: str, key: str, container: Any) -> str:
+    """Return the path of an item."""
+    if isinstance(container, list):
+        return f"{path}[{key}]"
+    return f"{path}.{key}" if path else key
--- /dev/null
+++ b/turmericreach/manifest/revision.py
@@ -0,0 +1,82 @@
+"""Revisions: the manifest with its generation, as kept in the object API."""
+
+import attrs
+
+from turmericreach.manifest.errors import GenerationConflict
+from turmericreach.manifest.schema import Manifest
+
+__all__ = ["MANIFEST_KIND", "MANIFEST_NAME", "Revision", "plan_apply"]
+
+MANIFEST_KIND = "config"
+MANIFEST_NAME = "manifest"
+
+
+@attrs.frozen
+class Revision:
+    """An accepted manifest.
+
+    Attributes
+    ----------
+    generation : int
+        1 for the first revision, then one more for each.
+    change_id : str
+        Unique id of the change, by which a lost answer is settled.
+    author : str
+        Who applied it.
+    applied_at : float
+        Unix time in seconds.
+    manifest : Manifest
+        The configuration.
+    parent : str
+        Change id of the revision that it replaced, empty for the first.
+    """
+
+    generation: int
+    change_id: str
+    author: str
+    applied_at: float
+    manifest: Manifest
+    parent: str = ""
+
+
+def plan_apply(
+    current: Revision | None,
+    new: Manifest,
+    expected_generation: int,
+    *,
+    change_id: str,
+    author: str,
+    applied_at: float,
+) -> Revision:
+    """Return the revision to write.
+
+    Parameters
+    ----------
+    current : Revision or None
+        Revision in force.
+    new : Manifest
+        Manifest to apply.
+    expected_generation : int
+        Generation that the change was made from, 0 for none.
+    change_id, author : str
+        Id of the change and who makes it.
+    applied_at : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    Revision
+        The next revision, or `current` if it already holds this change.
+
+    Raises
+    ------
+    GenerationConflict
+        If another generation is in force.
+    """
+    generation = current.generation if current else 0
+    if current and current.change_id == change_id:
+        return current
+    if generation != expected_generation:
+        raise GenerationConflict(expected_generation, generation)
+    parent = current.change_id if current else ""
+    return Revision(generation + 1, change_id, author, applied_at, new, parent)
--- a/turmericreach/manifest/schema.py
+++ b/turmericreach/manifest/schema.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from turmericreach.documents import bounded
+
 __all__ = [
     "DataCentre",
     "Manifest",
@@ -20,6 +22,10 @@
     "TrainerSpec",
 ]
 
+NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+TIME_PATTERN = r"^([01][0-9]|2[0-3]):[0-5][0-9]$"
+SCHEMA_VERSION = 1
+
 
 class ServiceKind(enum.StrEnum):
     """Kind of back end behind a service."""
@@ -32,8 +38,8 @@
 class DataCentre:
     """A data centre and the region that holds it."""
 
-    name: str
-    region: str = "default"
+    name: str = bounded(pattern=NAME_PATTERN)
+    region: str = bounded("default", pattern=NAME_PATTERN)
 
 
 @attrs.frozen
@@ -52,12 +58,12 @@
         Share of a model target's slots, 0 to 1, kept for this site's ordinary requests.
     """
 
-    name: str
+    name: str = bounded(pattern=NAME_PATTERN)
     time_zone: str
-    opens: str
-    closes: str
+    opens: str = bounded(pattern=TIME_PATTERN)
+    closes: str = bounded(pattern=TIME_PATTERN)
     days: list[str] = attrs.field(factory=lambda: ["mon", "tue", "wed", "thu", "fri", "sat", "sun"])
-    reserved_share: float = 0.0
+    reserved_share: float = bounded(0.0, minimum=0, maximum=1)
 
 
 @attrs.frozen
@@ -74,10 +80,10 @@
         Targets that may download from the weight store at the same time.
     """
 
-    name: str
-    prepared_share: float = 0.9
-    activate_after_s: float = 30.0
-    prepare_concurrency: int = 4
+    name: str = bounded(pattern=NAME_PATTERN)
+    prepared_share: float = bounded(0.9, minimum=0, maximum=1)
+    activate_after_s: float = bounded(30.0, above=0)
+    prepare_concurrency: int = bounded(4, minimum=1)
 
 
 @attrs.frozen
@@ -102,15 +108,15 @@
         Requests that may wait at one target before new ones are refused.
     """
 
-    name: str
+    name: str = bounded(pattern=NAME_PATTERN)
     kind: ServiceKind
     model: str = ""
     idempotent: bool = True
     non_idempotent_paths: list[str] = attrs.field(factory=list)
     refusals_not_run: bool = False
     retry_unknown_scores: bool = False
-    deadline_s: float = 30.0
-    max_queue: int = 64
+    deadline_s: float = bounded(30.0, above=0)
+    max_queue: int = bounded(64, minimum=0)
 
 
 @attrs.frozen
@@ -135,13 +141,13 @@
         Whether it is to receive no new work.
     """
 
-    name: str
+    name: str = bounded(pattern=NAME_PATTERN)
     service: str
     data_centre: str
-    url: str
+    url: str = bounded(pattern=r"^https?://[^\s/]+(/\S*)?$")
     agent: str
-    slots: int = 8
-    speed: float = 0.0
+    slots: int = bounded(8, minimum=1)
+    speed: float = bounded(0.0, minimum=0)
     fencing: bool = False
     checks_orders: bool = False
     drain: bool = False
@@ -159,9 +165,9 @@
         Lots that it may have open at the same time.
     """
 
-    name: str
-    share: float = 1.0
-    max_open_lots: int = 4
+    name: str = bounded(pattern=NAME_PATTERN)
+    share: float = bounded(1.0, above=0)
+    max_open_lots: int = bounded(4, minimum=1)
 
 
 @attrs.frozen
@@ -178,17 +184,17 @@
         Further copies of a sample that the end of a lot may run.
     """
 
-    weighting: float = 0.5
-    rollout_floor_share: float = 0.1
-    straggler_copies: int = 1
+    weighting: float = bounded(0.5, minimum=0, maximum=1)
+    rollout_floor_share: float = bounded(0.1, minimum=0, maximum=1)
+    straggler_copies: int = bounded(1, minimum=0)
 
 
 @attrs.frozen
 class Manifest:
     """The whole configuration of a deployment."""
 
-    schema: int
-    deployment: str
+    schema: int = bounded(minimum=SCHEMA_VERSION, maximum=SCHEMA_VERSION)
+    deployment: str = bounded(pattern=NAME_PATTERN)
     data_centres: list[DataCentre]
     services: list[ServiceSpec]
     targets: list[TargetSpec]
--- a/turmericreach/settings/loader.py
+++ b/turmericreach/settings/loader.py
@@ -1,11 +1,17 @@
 """Loading of a daemon's settings from YAML."""
 
-import ipaddress
 from pathlib import Path
 
-from turmericreach.documents import CheckedDocument, Problem, check_document, structure
+from turmericreach.documents import (
+    CheckedDocument,
+    Problem,
+    check_document,
+    is_address,
+    is_ip,
+    structure,
+)
 from turmericreach.settings.errors import SettingsError
-from turmericreach.settings.schema import MAX_PORT, DaemonSettings, Role
+from turmericreach.settings.schema import DaemonSettings, Role
 
 __all__ = ["load_settings"]
 
@@ -109,20 +115,3 @@
     url = document.value.get("platform", {}).get("url", "")
     if url and not url.startswith(("http://", "https://")):
         document.add("platform.url", f"expected an http or https URL, found {url!r}")
-
-
-def is_ip(text: str) -> bool:
-    """Return whether a text is an IP address."""
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
-def is_address(text: str) -> bool:
-    """Return whether a text is ``ip:port``, with an IPv6 address in brackets."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or len(port) > 5:
-        return False
-    return 1 <= int(port) <= MAX_PORT and is_ip(host.removeprefix("[").removesuffix("]"))
--- a/turmericreach/settings/schema.py
+++ b/turmericreach/settings/schema.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericreach.documents import bounded
+from turmericreach.documents import MAX_PORT, bounded
 
 __all__ = [
     "DaemonSettings",
@@ -18,7 +18,6 @@
 ]
 
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
-MAX_PORT = 65535
 
 
 class Role(enum.StrEnum):
