Reach the object API over HTTP and settle lost answers

Cause: an answer can be lost after a write took effect; a plain retry would apply a change twice, a plain error would deny a change that was made. Ruled out: retries inside the HTTP client (it repeats writes by itself unless told not to); deciding from the change id alone (another writer may have overwritten the change, so the values carry a lineage, and without one the result stays unknown).

--- /dev/null
+++ b/turmericreach/objectstore/errors.py
@@ -0,0 +1,51 @@
+"""Exceptions of the object API."""
+
+from turmericreach.verdicts import TurmericreachError
+
+__all__ = [
+    "Conflict",
+    "ObjectStoreError",
+    "RateLimited",
+    "ResultUnknown",
+    "Unavailable",
+    "ValueTooLarge",
+    "WatchExpired",
+]
+
+
+class ObjectStoreError(TurmericreachError):
+    """Base class; a call that ends with it or with any class but `ResultUnknown` had no effect."""
+
+
+class Conflict(ObjectStoreError):
+    """The condition of a write does not hold."""
+
+
+class Unavailable(ObjectStoreError):
+    """The call certainly had no effect; a later one may succeed."""
+
+
+class RateLimited(Unavailable):
+    """Too many calls; the call had no effect.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Seconds after which a retry may succeed.
+    """
+
+    def __init__(self, retry_after_s: float):
+        super().__init__(f"rate limited, retry after {retry_after_s:g} s")
+        self.retry_after_s = retry_after_s
+
+
+class ResultUnknown(ObjectStoreError):
+    """The write may have taken effect, now or later."""
+
+
+class ValueTooLarge(ObjectStoreError):
+    """The value exceeds what the object API takes."""
+
+
+class WatchExpired(ObjectStoreError):
+    """The revision is too old to watch from; list again."""
--- /dev/null
+++ b/turmericreach/objectstore/wire.py
@@ -0,0 +1,100 @@
+"""JSON and header values of the object API."""
+
+import attrs
+import msgspec
+
+from turmericreach.objectstore.errors import Unavailable
+from turmericreach.objectstore.protocol import (
+    EventType,
+    HostRecord,
+    Listing,
+    StoredObject,
+    WatchEvent,
+    WatchResult,
+)
+
+__all__ = ["etag", "read_etag", "read_hosts", "read_listing", "read_watch"]
+
+
+@attrs.frozen
+class ItemBody:
+    """An object in a listing; JSON holds the value in base64."""
+
+    name: str
+    version: int
+    revision: int
+    value: bytes
+
+
+@attrs.frozen
+class ListBody:
+    """Answer of a listing."""
+
+    revision: int
+    items: list[ItemBody]
+
+
+@attrs.frozen
+class EventBody:
+    """A change; a deletion may have no value."""
+
+    type: EventType
+    name: str
+    version: int
+    revision: int
+    value: bytes | None = None
+
+
+@attrs.frozen
+class WatchBody:
+    """Answer of a watch."""
+
+    revision: int
+    events: list[EventBody]
+
+
+@attrs.frozen
+class HostsBody:
+    """Answer with the hosts."""
+
+    hosts: list[HostRecord]
+
+
+def etag(version: int) -> bytes:
+    """Return the entity tag of a version."""
+    return f'"{version}"'.encode()
+
+
+def read_etag(text: bytes) -> int | None:
+    """Return the version of an entity tag, None if it is malformed."""
+    digits = text.removeprefix(b'"').removesuffix(b'"')
+    return int(digits) if digits.isdigit() and len(digits) < 20 else None
+
+
+def read_listing(kind: str, body: bytes) -> Listing:
+    """Return the listing of an answer."""
+    answer = decode(body, ListBody)
+    items = [StoredObject(kind, i.name, i.value, i.version, i.revision) for i in answer.items]
+    return Listing(answer.revision, items)
+
+
+def read_watch(body: bytes) -> WatchResult:
+    """Return the changes of an answer."""
+    answer = decode(body, WatchBody)
+    events = [
+        WatchEvent(e.type, e.name, e.version, e.revision, e.value or b"") for e in answer.events
+    ]
+    return WatchResult(answer.revision, events)
+
+
+def read_hosts(body: bytes) -> list[HostRecord]:
+    """Return the hosts of an answer."""
+    return decode(body, HostsBody).hosts
+
+
+def decode(body, model):
+    """Decode an answer; a malformed one counts as no answer."""
+    try:
+        return msgspec.json.decode(body, type=model)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise Unavailable(f"malformed answer: {error}") from None
