--- a/turmericreach/objectstore/settle.py
+++ b/turmericreach/objectstore/settle.py
@@ -114,9 +114,7 @@
         except (Conflict, Unavailable) as error:
             last_error = error
     if pending is not None:
-        if isinstance(last_error, ResultUnknown):
-            return await read_back(store, kind, name, pending, change_id_of, lineage_of)
-        raise ResultUnknown(f"{kind}/{name}: not settled, last error: {last_error}")
+        return await read_back(store, kind, name, pending, change_id_of, lineage_of)
     raise last_error
 
 
--- /dev/null
+++ b/turmericreach/security/redaction.py
@@ -0,0 +1,37 @@
+"""Removal of secrets from text that leaves the process."""
+
+import re
+
+__all__ = ["REDACTED", "is_secret_name", "redact"]
+
+REDACTED = "[redacted]"
+
+SECRET_NAME = re.compile(
+    r"(?:^|[_-])(token|secret|password|passwd|authorization|cookie|api[_-]?key|private[_-]?key)s?$",
+    re.IGNORECASE,
+)
+SECRET_WORDS = r"token|secret|password|passwd|authorization|cookie|api[_-]?key|private[_-]?key"
+PATTERNS = (
+    # A truncated PEM block has no end line, so the rest of the text goes as well.
+    re.compile(
+        r"()-----BEGIN [A-Z ]*PRIVATE KEY-----.*?(?:-----END [A-Z ]*PRIVATE KEY-----|\Z)", re.DOTALL
+    ),
+    re.compile(r"(\b(?:Bearer|Basic)\s+)[^\s\"',;]+", re.IGNORECASE),
+    re.compile(r"(://[^/\s:@]*:)[^/\s@]+(?=@)"),
+    re.compile(
+        rf"((?:{SECRET_WORDS})s?[\"']?\s*[:=]\s*[\"']?)(?!Bearer\b|Basic\b|\[redacted)[^\s\"',;&}}]+",
+        re.IGNORECASE,
+    ),
+)
+
+
+def redact(text: str) -> str:
+    """Return text without bearer tokens, passwords in URLs, private keys and named secrets."""
+    for pattern in PATTERNS:
+        text = pattern.sub(rf"\1{REDACTED}", text)
+    return text
+
+
+def is_secret_name(name: str) -> bool:
+    """Return whether a field or header of this name holds a secret."""
+    return SECRET_NAME.search(name) is not None
