--- /dev/null
+++ b/tests/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ownership package."""
