Keep the member table and exchange it through relays

Cause: daemons need the members, their states and the state of each target within seconds, at 23 KB/s a daemon and 57 daemons in a data centre.

--- /dev/null
+++ b/tests/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the config package."""
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the membership package."""
--- /dev/null
+++ b/tests/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the weights package."""
--- a/turmericreach/membership/__init__.py
+++ b/turmericreach/membership/__init__.py
@@ -1,1 +1,31 @@
-"""Placeholder."""
+"""Member table of a daemon, its messages and failure suspicion."""
+
+from turmericreach.membership.records import (
+    Digest,
+    DigestReply,
+    HostState,
+    MemberRecord,
+    Notice,
+    Report,
+    ReportReply,
+    Silence,
+    TargetStatus,
+    decode,
+    encode,
+)
+from turmericreach.membership.table import MemberTable
+
+__all__ = [
+    "Digest",
+    "DigestReply",
+    "HostState",
+    "MemberRecord",
+    "MemberTable",
+    "Notice",
+    "Report",
+    "ReportReply",
+    "Silence",
+    "TargetStatus",
+    "decode",
+    "encode",
+]
