Add TLS contexts that follow their files, and tokens with roles

Cause: daemons authenticate each other, certificates are replaced while they run, and callers have roles. Ruled out: loading new files into the context in use (former authorities would stay trusted until a restart); a restart of the listener (it cuts connections off). Checking host names was ruled out too: daemons connect by IP number and hosts are replaced at any time, so membership of the CA counts. Change: TlsContexts, TokenTable; redact lives in telemetry, which may not import security, and is exported by security.

--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from turmericreach.security.redaction import redact
 from turmericreach.telemetry import (
     Decision,
     DecisionTrace,
@@ -22,6 +21,7 @@
 )
 from turmericreach.telemetry import metric_catalogue as catalogue
 from turmericreach.telemetry.log import EVENT_LOG
+from turmericreach.telemetry.redaction import redact
 
 DOCS = Path(__file__).parents[2] / "docs"
 
--- a/turmericreach/audit/record.py
+++ b/turmericreach/audit/record.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from turmericreach.security.redaction import redact
+from turmericreach.telemetry.redaction import redact
 
 __all__ = ["GAP_ACTION", "AuditRecord", "bound_record"]
 
--- a/turmericreach/security/__init__.py
+++ b/turmericreach/security/__init__.py
@@ -1,1 +1,8 @@
-"""Placeholder."""
+"""TLS contexts that follow their files, tokens with roles, and redaction of secrets."""
+
+from turmericreach.security.errors import TlsError
+from turmericreach.security.tls import TlsContexts
+from turmericreach.security.tokens import TokenRole, TokenTable
+from turmericreach.telemetry.redaction import redact
+
+__all__ = ["TlsContexts", "TlsError", "TokenRole", "TokenTable", "redact"]
--- a/turmericreach/telemetry/log.py
+++ b/turmericreach/telemetry/log.py
@@ -6,8 +6,8 @@
 
 from absl import flags, logging
 
-from turmericreach.security.redaction import REDACTED, is_secret_name, redact
 from turmericreach.telemetry.event import Event, EventFieldError
+from turmericreach.telemetry.redaction import REDACTED, is_secret_name, redact
 
 __all__ = ["JsonFormatter", "configure_logging", "log_event"]
 
