--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -3,19 +3,24 @@
 from turmericreach.attempts.claims import ClaimKeeper, ClaimRecord
 from turmericreach.attempts.ids import new_attempt_id, new_incarnation, new_request_id
 from turmericreach.attempts.request import CallerRequest
-from turmericreach.attempts.runner import RequestRunner, Router
+from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router, SentAttempt
+from turmericreach.attempts.stream import CallerStream
 from turmericreach.attempts.table import AttemptEntry, AttemptState, AttemptTable, DuplicateAttempt
 
 __all__ = [
     "AttemptEntry",
+    "AttemptObserver",
     "AttemptState",
     "AttemptTable",
     "CallerRequest",
+    "CallerStream",
     "ClaimKeeper",
     "ClaimRecord",
     "DuplicateAttempt",
+    "Peers",
     "RequestRunner",
     "Router",
+    "SentAttempt",
     "new_attempt_id",
     "new_incarnation",
     "new_request_id",
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -1,6 +1,7 @@
 """The gateway's side of a request: attempts, settlement and retries."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -124,7 +125,12 @@
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
-    async def run(self, request: CallerRequest, stream: CallerStream | None = None) -> Outcome:
+    async def run(
+        self,
+        request: CallerRequest,
+        stream: CallerStream | None = None,
+        on_sent: Callable[[SentAttempt], None] | None = None,
+    ) -> Outcome:
         """Run a request until it is answered or must not be repeated.
 
         Parameters
@@ -132,6 +138,8 @@
         request : CallerRequest
         stream : CallerStream or None
             Receives a streamed answer; once it has begun, the request is not repeated.
+        on_sent : callable or None
+            Told of each attempt that is about to be sent.
 
         Returns
         -------
@@ -152,7 +160,7 @@
                     tried.clear()
                     continue
                 return self.final(outcome, may_have_run)
-            outcome = await self.attempt(request, choice, stream)
+            outcome = await self.attempt(request, choice, stream, on_sent)
             if outcome.verdict is Verdict.ANSWERED:
                 self.budget.on_success(self.now())
                 return outcome
@@ -170,6 +178,7 @@
             min_version=request.min_version,
             excluded=tried,
             expected_tokens=request.expected_tokens,
+            prefer=request.prefer_target,
         )
         return self.router.choose(wish, self.now())
 
@@ -215,7 +224,7 @@
         self.observer.on_decision(request.request_id, "", what, outcome.evidence)
         return allowed
 
-    async def attempt(self, request, choice: Choice, stream) -> Outcome:
+    async def attempt(self, request, choice: Choice, stream, on_sent) -> Outcome:
         """Make one attempt at a chosen target."""
         attempt_id = new_attempt_id()
         started = self.now()
@@ -224,7 +233,7 @@
             Verdict.MAY_HAVE_RUN, code=ErrorCode.CANCELLED, evidence="gateway: caller left"
         )
         try:
-            outcome = await self.send(request, choice.target, attempt_id, stream)
+            outcome = await self.send(request, choice.target, attempt_id, stream, on_sent)
         finally:
             now = self.now()
             tokens = sum(segment.tokens for segment in outcome.segments)
@@ -233,7 +242,7 @@
             self.observer.on_decision(request.request_id, attempt_id, what, outcome.evidence)
         return outcome
 
-    async def send(self, request, target: str, attempt_id: str, stream) -> Outcome:
+    async def send(self, request, target: str, attempt_id: str, stream, on_sent) -> Outcome:
         """Send an attempt and settle it if its answer is missing."""
         try:
             client = await self.peers.agent_of(target)
@@ -252,6 +261,8 @@
         refusal = await self.observer.before_send(request, sent)
         if refusal is not None:
             return refusal
+        if on_sent is not None:
+            on_sent(sent)
         attempt = build_attempt(request, sent, stream)
         try:
             return await self.submit(client, attempt, request, stream)
--- a/turmericreach/attempts/table.py
+++ b/turmericreach/attempts/table.py
@@ -51,6 +51,7 @@
     outcome: Outcome | None = None
     answer_kept: bool = True
     keep_s: float = KEEP_S
+    idempotent: bool = True
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -120,7 +121,9 @@
         if deadline > now + MAX_DEADLINE_S:
             return self.refuse(ErrorCode.BAD_REQUEST, "deadline too far in the future")
         keep_s = KEEP_S if attempt.idempotent else KEEP_NON_IDEMPOTENT_S
-        entry = AttemptEntry(attempt.attempt_id, deadline, keep_s=keep_s)
+        entry = AttemptEntry(
+            attempt.attempt_id, deadline, keep_s=keep_s, idempotent=attempt.idempotent
+        )
         self.entries[attempt.attempt_id] = entry
         return entry
 
--- a/turmericreach/client/trainer.py
+++ b/turmericreach/client/trainer.py
@@ -11,7 +11,7 @@
     PullRequest,
 )
 from turmericreach.client.connection import ApiConnection, ApiError
-from turmericreach.lots import Cursor, LotSpec, Sample, encode_lot
+from turmericreach.lots import Cursor, LotSpec, Sample
 from turmericreach.verdicts import ErrorCode
 
 __all__ = ["LotRun", "TrainerClient"]
--- a/turmericreach/daemon/__init__.py
+++ b/turmericreach/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""The daemon: its roles, HTTP routes and program."""
--- /dev/null
+++ b/turmericreach/daemon/agent_daemon.py
@@ -0,0 +1,257 @@
+"""An agent: the daemon beside the targets of one host."""
+
+import asyncio
+import datetime
+
+import msgspec
+
+from turmericreach.attempts import AttemptTable
+from turmericreach.daemon.agent import AttemptServer
+from turmericreach.daemon.convergence import ConvergenceLoop
+from turmericreach.daemon.fleet import FleetService
+from turmericreach.daemon.hosted import HostedTarget
+from turmericreach.daemon.inspection import INSPECT, Inspection
+from turmericreach.daemon.node import START_SHIFT, Node
+from turmericreach.daemon.rollout import GRANT, GrantMessage
+from turmericreach.daemon.target_drain import DRAIN, DrainMessage, read_drains
+from turmericreach.httpclient import open_session
+from turmericreach.membership import TargetStatus
+from turmericreach.objectstore import ObjectStoreError
+from turmericreach.rpc import Hello, PeerServer
+from turmericreach.telemetry import events, log_event
+from turmericreach.verdicts import Outcome
+from turmericreach.weights import FencingNumbers
+
+__all__ = ["AgentDaemon"]
+
+STEER_INTERVAL_S = 1.0
+EXPIRE_INTERVAL_S = 5.0
+DRAIN_RETRY_S = 2.0
+# Gateways learn of a leaving agent within this time; its targets refuse new work meanwhile.
+LEAVE_DELAY_S = 2.0
+
+
+class AgentDaemon:
+    """The daemon beside targets.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.fleet = FleetService(node, self.on_config, self.wake_all)
+        self.attempts = AttemptServer(AttemptTable(node.name, node.incarnation))
+        self.numbers = FencingNumbers((node.incarnation >> START_SHIFT) // 1000)
+        self.loops: dict[str, ConvergenceLoop] = {}
+        self.loop_tasks: dict[str, asyncio.Task] = {}
+        self.drained: dict[str, bool] = {}
+        self.session = open_session()
+        self.fresh_session = open_session(reuse=False)
+        self.rpc = PeerServer(
+            self, node.settings.listen.ip, node.settings.listen.rpc_port, node.server_ssl
+        )
+        self.tasks: list[asyncio.Task] = []
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Open the port; raises `OSError` if the address is in use."""
+        await self.rpc.start()
+        self.fleet.start()
+        for loop in (self.steer_loop, self.expire_loop, self.drain_loop):
+            self.tasks.append(asyncio.ensure_future(self.fleet.supervise(loop)))
+
+    async def stop(self) -> int:
+        """Stop gracefully; return the number of attempts that were abandoned."""
+        self.node.leaving = True
+        self.attempts.start_leaving()
+        for name in self.attempts.targets:
+            log_event(events.TARGET_LEAVING, target=name, reason="the agent stops")
+        self.node.members.set_own(self.node.now(), state="leaving")
+        self.fleet.report_now.set()
+        await asyncio.sleep(LEAVE_DELAY_S)
+        left = await self.attempts.wait_until_idle(self.node.settings.stop_timeout_s)
+        self.node.members.set_own(self.node.now(), state="stopped")
+        self.fleet.report_now.set()
+        # Answers that were just sent leave the socket before it is closed.
+        await asyncio.sleep(0.1)
+        tasks = [*self.tasks, *self.loop_tasks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.fleet.stop()
+        await self.rpc.stop()
+        await self.session.close()
+        await self.fresh_session.close()
+        await self.node.close()
+        return left
+
+    def in_flight(self) -> int:
+        """Return the number of attempts in flight."""
+        return self.attempts.table.in_flight()
+
+    def ready(self) -> bool:
+        """Return whether a configuration is in force that may be served."""
+        return self.node.config.ready(self.node.now()).ready
+
+    # Configuration
+
+    def on_config(self) -> None:
+        """Take over the targets that the manifest gives this agent."""
+        own = self.node.members.own.address
+        wanted = {spec.name: spec for spec in self.node.targets.values() if spec.agent == own}
+        now = self.node.now()
+        for name, spec in wanted.items():
+            service = self.node.services[spec.service]
+            hosted = self.attempts.targets.get(name)
+            if hosted is not None and hosted.spec.url == spec.url:
+                hosted.configure(spec, service, self.node.manifest, now)
+                continue
+            self.add_target(spec, service, now)
+        for name in list(self.attempts.targets.keys() - wanted.keys()):
+            self.remove_target(name)
+        self.publish()
+
+    def add_target(self, spec, service, now) -> None:
+        """Start to serve a target."""
+        hosted = HostedTarget(
+            spec,
+            service,
+            self.node.manifest,
+            self.attempts.table,
+            self.session,
+            self.fresh_session,
+            now,
+        )
+        hosted.drained = self.drained.get(spec.name, False)
+        self.attempts.targets[spec.name] = hosted
+        if not hosted.is_model:
+            return
+        loop = ConvergenceLoop(
+            hosted,
+            self.node.wanted,
+            self.numbers,
+            self.node.settings.security.order_token,
+            self.publish,
+        )
+        self.loops[spec.name] = loop
+        self.loop_tasks[spec.name] = asyncio.ensure_future(self.fleet.supervise(loop.run))
+
+    def remove_target(self, name: str) -> None:
+        """Stop serving a target that the manifest no longer gives to this agent."""
+        hosted = self.attempts.targets.pop(name)
+        hosted.start_leaving()
+        log_event(events.TARGET_LEAVING, target=name, reason="removed from the manifest")
+        self.loops.pop(name, None)
+        task = self.loop_tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    def wake_all(self) -> None:
+        """Let all targets converge on a new wanted version at once."""
+        for loop in self.loops.values():
+            loop.wake()
+
+    def publish(self) -> None:
+        """Put the state of the targets into the own member record."""
+        statuses = [self.status_of(hosted) for hosted in self.attempts.targets.values()]
+        former = self.node.members.own
+        own = self.node.members.set_own(self.node.now(), targets=statuses)
+        if own.without_load() != former.without_load():
+            self.fleet.report_now.set()
+
+    def status_of(self, hosted: HostedTarget) -> TargetStatus:
+        """Return the report on one target."""
+        running, waiting = hosted.in_flight()
+        active = self.node.wanted.active.get(hosted.service.model)
+        return TargetStatus(
+            name=hosted.spec.name,
+            service=hosted.spec.service,
+            state="up" if hosted.reachable else "down",
+            version=hosted.version,
+            prepared=hosted.prepared,
+            wanted=0 if active is None else active.version,
+            running=running,
+            waiting=waiting,
+            slots=hosted.spec.slots,
+            drained=hosted.drained or hosted.spec.drain,
+        )
+
+    # Loops
+
+    async def steer_loop(self) -> None:
+        """Apply site hours and latency to the limits and report the load."""
+        while True:
+            await asyncio.sleep(STEER_INTERVAL_S)
+            wall = datetime.datetime.now(datetime.UTC)
+            for hosted in self.attempts.targets.values():
+                hosted.steer(self.node.now(), wall)
+            self.publish()
+
+    async def expire_loop(self) -> None:
+        """Forget attempts that need not be kept any more."""
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            self.attempts.table.expire(self.node.now())
+
+    async def drain_loop(self) -> None:
+        """Read the stored drains once, as soon as the platform answers."""
+        while True:
+            try:
+                stored = await read_drains(self.node.store)
+            except ObjectStoreError:
+                await asyncio.sleep(DRAIN_RETRY_S)
+                continue
+            for target, drain in stored.items():
+                if target not in self.drained:
+                    self.set_drain(DrainMessage(target, drain))
+            await asyncio.Event().wait()
+
+    def set_drain(self, message: DrainMessage) -> None:
+        """Start or lift the drain of a target."""
+        self.drained[message.target] = message.drain
+        hosted = self.attempts.targets.get(message.target)
+        if hosted is None or hosted.drained == message.drain:
+            return
+        hosted.drained = message.drain
+        if message.drain:
+            log_event(events.TARGET_LEAVING, target=message.target, reason="drained")
+        self.publish()
+
+    # PeerHandler protocol
+
+    def hello(self, hello: Hello) -> Hello:
+        """Return the identity of this daemon."""
+        return self.node.hello()
+
+    async def submit(self, attempt, writer) -> Outcome:
+        """Run an attempt at a target of this host."""
+        outcome = await self.attempts.submit(attempt, writer)
+        what = f"{attempt.target}: {outcome.verdict} {outcome.code}".strip()
+        self.node.decide(attempt.request_id, attempt.attempt_id, what, outcome.evidence)
+        return outcome
+
+    async def settle(self, attempt_id, incarnation, deadline_ms, wait_s) -> Outcome:
+        """Establish whether an attempt ran."""
+        return await self.attempts.settle(attempt_id, incarnation, deadline_ms, wait_s)
+
+    async def cancel(self, attempt_id) -> None:
+        """Stop an attempt whose result is no longer needed."""
+        await self.attempts.cancel(attempt_id)
+
+    async def control(self, kind: str, body: bytes) -> bytes:
+        """Answer a control message."""
+        if kind == INSPECT:
+            return Inspection(self.node).answer(body)
+        if kind == GRANT:
+            grant = msgspec.json.decode(body, type=GrantMessage)
+            loop = self.loops.get(grant.target)
+            if loop is not None:
+                loop.grant(grant.version)
+            return b""
+        if kind == DRAIN:
+            self.set_drain(msgspec.json.decode(body, type=DrainMessage))
+            return b""
+        return await self.fleet.answer(kind, body)
--- a/turmericreach/daemon/completions.py
+++ b/turmericreach/daemon/completions.py
@@ -22,11 +22,21 @@
 
 @attrs.frozen
 class CompletionResult:
-    """Body of a finished rollout's outcome."""
+    """Body of a finished rollout's outcome.
+
+    Attributes
+    ----------
+    started_version, finished_version : int or None
+        Versions that the agent read before the start and after the end, None if a read failed.
+    """
 
     text: str
     tokens: int
     finish_reason: str
+    target: str
+    attempt_id: str
+    started_version: int | None = None
+    finished_version: int | None = None
 
 
 def parse_completion(attempt: Attempt, priority: int) -> GenerationRequest:
@@ -51,24 +61,23 @@
     )
 
 
-def generation_outcome(generation: Generation, target: str) -> Outcome:
+def generation_outcome(generation: Generation, result: CompletionResult) -> Outcome:
     """Return the outcome of a finished rollout.
 
     A completion whose label is not known from the engine's own reports carries no segments.
     """
-    result = CompletionResult(generation.text, generation.tokens, generation.finish_reason)
     if not generation.labelled:
         return Outcome(
             Verdict.ANSWERED,
             code=ErrorCode.UNKNOWN_LABEL,
             status=200,
             body=msgspec.json.encode(result),
-            evidence=f"engine {target} left tokens without a version",
+            evidence=f"engine {result.target} left tokens without a version",
         )
     return Outcome(
         Verdict.ANSWERED,
         status=200,
         body=msgspec.json.encode(result),
         segments=generation.segments,
-        evidence=f"engine {target} finished",
+        evidence=f"engine {result.target} finished",
     )
--- /dev/null
+++ b/turmericreach/daemon/fleet.py
@@ -0,0 +1,377 @@
+"""Exchange with other daemons and the platform: members, configuration, wanted versions."""
+
+import asyncio
+import random
+
+import attrs
+import msgspec
+
+from turmericreach.config import Accepted, Contradiction, Revision, Source
+from turmericreach.daemon.node import Node
+from turmericreach.daemon.revisions import decode_for_state, manifest_of
+from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME, ManifestError
+from turmericreach.membership import (
+    Digest,
+    DigestReply,
+    HostState,
+    MemberRecord,
+    Notice,
+    Report,
+    ReportReply,
+    decode,
+    encode,
+)
+from turmericreach.objectstore import HostRecord, ObjectStoreError, WatchExpired
+from turmericreach.rpc import PeerError
+from turmericreach.telemetry import events, log_event
+from turmericreach.verdicts import ErrorCode, RequestError
+from turmericreach.weights import WantedVersion
+
+__all__ = ["FleetService"]
+
+REPORT_INTERVAL_S = 1.0
+DIGEST_INTERVAL_S = 1.0
+HOSTS_INTERVAL_S = 2.0
+WATCH_TIMEOUT_S = 25.0
+WATCH_PAUSE_S = 1.0
+CALL_TIMEOUT_S = 2.0
+# Contact to an address that is not a live member, so that parted groups find each other again.
+BOOTSTRAP_INTERVAL_S = 5.0
+WEIGHTS_KIND = "weights"
+REPORT = "report"
+DIGEST = "digest"
+NOTICE = "notice"
+REVISION = "revision"
+JITTER = 0.1
+
+
+class FleetService:
+    """Keeps the member table, the configuration and the wanted versions of one daemon current.
+
+    Parameters
+    ----------
+    node : Node
+    on_config : callable
+        Called without arguments after a new generation was put in force.
+    on_wanted : callable
+        Called without arguments after a higher wanted version was learned.
+    """
+
+    def __init__(self, node: Node, on_config, on_wanted):
+        self.node = node
+        self.on_config = on_config
+        self.on_wanted = on_wanted
+        self.hosts: list[HostRecord] = []
+        self.tasks: list[asyncio.Task] = []
+        self.rng = random.Random(node.incarnation)
+        self.bootstrap_at = float("-inf")
+        self.platform_up: bool | None = None
+        self.platform_down_at = node.started_at
+        self.report_now = asyncio.Event()
+
+    def start(self) -> None:
+        """Start all loops."""
+        loops = [
+            self.report_loop,
+            self.digest_loop,
+            self.hosts_loop,
+            self.manifest_loop,
+            self.weights_loop,
+        ]
+        for loop in loops:
+            self.tasks.append(asyncio.ensure_future(self.supervise(loop)))
+
+    async def stop(self) -> None:
+        """Stop all loops."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def supervise(self, loop) -> None:
+        """Run a loop and start it again after an unexpected error."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:  # noqa: BLE001 - a fault of one loop must not end the daemon
+                log_event(
+                    events.INTERNAL_ERROR, error=f"{type(error).__name__}: {error}", where=loop.__name__
+                )
+                await asyncio.sleep(WATCH_PAUSE_S)
+
+    def is_relay(self) -> bool:
+        """Return whether this daemon is a relay of its data centre."""
+        relays = self.node.members.relays(self.node.settings.data_centre, self.node.now())
+        return any(member.name == self.node.name for member in relays)
+
+    # Reports
+
+    async def report_loop(self) -> None:
+        """Report to the relays once a second, and at once when asked to."""
+        while True:
+            self.report_now.clear()
+            now = self.node.now()
+            relays = self.node.members.relays(self.node.settings.data_centre, now)
+            addresses = [(item.name, item.address) for item in relays if item.name != self.node.name]
+            addresses += self.bootstrap_addresses(now)
+            await asyncio.gather(*(self.report_to(address) for _, address in addresses))
+            pause_s = REPORT_INTERVAL_S * (1 + self.rng.uniform(-JITTER, JITTER))
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self.report_now.wait()
+            except TimeoutError:
+                continue
+
+    def bootstrap_addresses(self, now: float) -> list[tuple[str, str]]:
+        """Return addresses of possible members that are not known to be live."""
+        if now - self.bootstrap_at < BOOTSTRAP_INTERVAL_S and len(self.node.members.records) > 1:
+            return []
+        self.bootstrap_at = now
+        live = {member.address for member in self.node.members.live(now)}
+        own = self.node.members.own
+        near, far = [], []
+        for address, data_centre in self.known_addresses():
+            if address in live or address == own.address:
+                continue
+            (near if data_centre in ("", own.data_centre) else far).append(("", address))
+        chosen = self.rng.sample(near, min(2, len(near)))
+        if self.is_relay():
+            chosen += self.rng.sample(far, min(1, len(far)))
+        return chosen
+
+    def known_addresses(self) -> list[tuple[str, str]]:
+        """Return (address, data centre) of every daemon that settings, platform or manifest name."""
+        found = [(seed, "") for seed in self.node.settings.seeds]
+        for host in self.hosts:
+            if ":" in host.address:
+                found.append((host.address, host.data_centre))
+        for target in self.node.targets.values():
+            found.append((target.agent, target.data_centre))
+        return sorted(set(found))
+
+    async def report_to(self, address: str) -> None:
+        """Send a report and take over the answer, until nothing more waits."""
+        try:
+            client = await self.node.peers.get(address)
+            more = True
+            while more:
+                report = self.node.members.make_report(client.peer.name, self.node.now())
+                report = attrs.evolve(report, wanted=self.node.wanted.rows())
+                body = await client.control(REPORT, encode(report), CALL_TIMEOUT_S)
+                reply = decode(body, ReportReply)
+                self.node.members.on_reply(reply, self.node.now())
+                self.take_wanted(reply.wanted)
+                self.node.config.note_peer(reply.relay, reply.generation)
+                more = reply.more
+            if self.node.config.is_behind():
+                await self.fetch_revision(client)
+        except (PeerError, msgspec.DecodeError):
+            self.node.peers.drop(address)
+
+    async def fetch_revision(self, client) -> None:
+        """Get the configuration that a peer has in force."""
+        body = await client.control(REVISION, b"", CALL_TIMEOUT_S)
+        if body:
+            self.offer(decode_for_state(body), Source.PEER)
+
+    # Digests between data centres
+
+    async def digest_loop(self) -> None:
+        """As a relay, exchange digests with the relays of the other data centres."""
+        while True:
+            await asyncio.sleep(DIGEST_INTERVAL_S * (1 + self.rng.uniform(-JITTER, JITTER)))
+            if not self.is_relay():
+                continue
+            now = self.node.now()
+            own = self.node.settings.data_centre
+            places = {member.data_centre for member in self.node.members.records.values()}
+            peers: list[MemberRecord] = []
+            for place in sorted(places - {own}):
+                peers += self.node.members.relays(place, now)
+            await asyncio.gather(*(self.digest_to(peer) for peer in peers))
+
+    async def digest_to(self, peer: MemberRecord) -> None:
+        """Send a digest to a relay of another data centre."""
+        try:
+            client = await self.node.peers.get(peer.address)
+            digest = self.node.members.make_digest(peer.name, self.node.now())
+            digest = attrs.evolve(digest, wanted=self.node.wanted.rows())
+            body = await client.control(DIGEST, encode(digest), CALL_TIMEOUT_S)
+            reply = decode(body, DigestReply)
+            self.node.members.on_digest_reply(reply, self.node.now())
+            self.take_wanted(reply.wanted)
+            self.node.config.note_peer(reply.name, reply.generation)
+            if self.node.config.is_behind():
+                await self.fetch_revision(client)
+        except (PeerError, msgspec.DecodeError):
+            self.node.peers.drop(peer.address)
+
+    # Calls of peers
+
+    async def answer(self, kind: str, body: bytes) -> bytes:
+        """Answer a control message of a peer.
+
+        Raises
+        ------
+        RequestError
+            For an unknown kind.
+        """
+        if kind == REPORT:
+            return self.answer_report(decode(body, Report))
+        if kind == DIGEST:
+            return self.answer_digest(decode(body, Digest))
+        if kind == NOTICE:
+            notice = decode(body, Notice)
+            self.node.members.on_notice(notice, self.node.now())
+            self.take_wanted(notice.wanted)
+            return b""
+        if kind == REVISION:
+            revision = self.node.config.revision
+            return b"" if revision is None else revision.payload
+        raise RequestError(ErrorCode.BAD_REQUEST, f"unknown control message {kind}")
+
+    def answer_report(self, report: Report) -> bytes:
+        """Take over a report and answer it."""
+        self.take_wanted(report.wanted)
+        reply = self.node.members.on_report(report, self.node.now())
+        missing = self.node.wanted.missing_from(report.wanted)
+        return encode(attrs.evolve(reply, wanted=missing))
+
+    def answer_digest(self, digest: Digest) -> bytes:
+        """Take over a digest and answer it."""
+        self.take_wanted(digest.wanted)
+        self.node.config.note_peer(digest.name, digest.generation)
+        reply = self.node.members.on_digest(digest, self.node.now())
+        missing = self.node.wanted.missing_from(digest.wanted)
+        return encode(attrs.evolve(reply, wanted=missing))
+
+    def take_wanted(self, rows: list[WantedVersion]) -> None:
+        """Merge wanted versions and report them on if they are news."""
+        changed = self.node.wanted.merge(rows)
+        for row in changed:
+            log_event(
+                events.VERSION_LEARNED,
+                model=row.model,
+                version=row.version,
+                phase=row.phase,
+                source=row.source,
+            )
+        if changed:
+            self.report_now.set()
+            self.on_wanted()
+
+    # Platform
+
+    def note_platform(self, up: bool, error: str = "") -> None:
+        """Log when the platform goes down or comes back."""
+        if not up:
+            self.node.config.note_platform_down()
+        if up is self.platform_up:
+            return
+        if up and self.platform_up is False:
+            log_event(events.PLATFORM_UP, seconds=self.node.now() - self.platform_down_at)
+        if not up:
+            self.platform_down_at = self.node.now()
+            log_event(events.PLATFORM_DOWN, error=error)
+        self.platform_up = up
+
+    def needs_platform(self) -> bool:
+        """Return whether this daemon reads from the platform itself.
+
+        Relays do. Others do so only until they have their first configuration.
+        """
+        return self.is_relay() or self.node.config.generation == 0
+
+    async def hosts_loop(self) -> None:
+        """As a relay, read the platform's list of hosts."""
+        while True:
+            if self.needs_platform():
+                try:
+                    self.hosts = await self.node.store.hosts()
+                    rows = [HostState(host.name, host.state.value) for host in self.hosts]
+                    self.node.members.on_hosts(rows, self.node.now())
+                    self.note_platform(True)
+                except ObjectStoreError as error:
+                    self.note_platform(False, str(error))
+            await asyncio.sleep(HOSTS_INTERVAL_S * (1 + self.rng.uniform(-JITTER, JITTER)))
+
+    async def manifest_loop(self) -> None:
+        """Follow the manifest in the platform."""
+        await self.follow(MANIFEST_KIND, self.take_manifest)
+
+    async def weights_loop(self) -> None:
+        """Follow the wanted versions in the platform."""
+        await self.follow(WEIGHTS_KIND, self.take_stored_version)
+
+    async def follow(self, kind: str, take) -> None:
+        """List a kind and watch it from there, while this daemon needs the platform."""
+        revision = None
+        while True:
+            if not self.needs_platform():
+                revision = None
+                await asyncio.sleep(WATCH_PAUSE_S)
+                continue
+            try:
+                if revision is None:
+                    listing = await self.node.store.list(kind)
+                    for item in listing.items:
+                        take(item.name, item.value)
+                    revision = listing.revision
+                    self.note_platform(True)
+                    if kind == MANIFEST_KIND and not listing.items:
+                        self.node.config.platform_answered = True
+                result = await self.node.store.watch(kind, revision, WATCH_TIMEOUT_S)
+                for event in result.events:
+                    if event.value:
+                        take(event.name, event.value)
+                revision = result.revision
+            except WatchExpired:
+                revision = None
+            except ObjectStoreError as error:
+                revision = None
+                self.note_platform(False, str(error))
+                await asyncio.sleep(WATCH_PAUSE_S * (1 + self.rng.random()))
+
+    def take_manifest(self, name: str, value: bytes) -> None:
+        """Take over a manifest from the platform."""
+        if name == MANIFEST_NAME:
+            self.offer(decode_for_state(value), Source.PLATFORM)
+
+    def take_stored_version(self, name: str, value: bytes) -> None:
+        """Take over a wanted version from the platform."""
+        try:
+            self.take_wanted([msgspec.json.decode(value, type=WantedVersion)])
+        except msgspec.DecodeError as error:
+            log_event(events.INTERNAL_ERROR, error=str(error), where=f"{WEIGHTS_KIND}/{name}")
+
+    def offer(self, revision: Revision, source: Source) -> None:
+        """Put a revision in force if it is newer."""
+        answer = self.node.config.offer(revision, source, self.node.now())
+        if isinstance(answer, Contradiction):
+            log_event(
+                events.CONFIGURATION_REFUSED,
+                generation=answer.dropped.generation,
+                problem=f"two changes of one generation, kept {answer.kept.change_id}",
+            )
+        if not isinstance(answer, Accepted) and not (
+            isinstance(answer, Contradiction) and answer.replaced
+        ):
+            return
+        try:
+            self.install(self.node.config.revision)
+        except ManifestError as error:
+            log_event(
+                events.CONFIGURATION_REFUSED, generation=revision.generation, problem=str(error)
+            )
+
+    def install(self, revision: Revision) -> None:
+        """Put the manifest of a revision in force."""
+        manifest = manifest_of(revision)
+        self.node.install(manifest)
+        self.node.members.set_own(self.node.now(), generation=revision.generation)
+        log_event(
+            events.GENERATION_IN_FORCE,
+            generation=revision.generation,
+            change_id=revision.change_id,
+        )
+        self.on_config()
+        self.report_now.set()
--- /dev/null
+++ b/turmericreach/daemon/gateway.py
@@ -0,0 +1,354 @@
+"""A gateway: HTTP door, routing, lots and duties."""
+
+import asyncio
+import uuid
+
+import msgspec
+
+from turmericreach.api import AnnounceRequest
+from turmericreach.attempts import CallerRequest, ClaimKeeper, RequestRunner, SentAttempt
+from turmericreach.audit import AuditLog, AuditRecord
+from turmericreach.config import Confirmation
+from turmericreach.daemon.fleet import FleetService
+from turmericreach.daemon.gateway_app import build_app
+from turmericreach.daemon.inspection import INSPECT, Inspection, inspect_members
+from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
+from turmericreach.daemon.lot_runner import LotContext
+from turmericreach.daemon.lot_service import LOT, LotService
+from turmericreach.daemon.node import Node
+from turmericreach.daemon.ordinary import OrdinaryRequests
+from turmericreach.daemon.rollout import WeightRollouts, save_wanted
+from turmericreach.daemon.routing_sync import AgentPeers, RoutingSync
+from turmericreach.daemon.target_drain import DrainWriter
+from turmericreach.httpserver import CancelOnDisconnect, HttpServer, bind_socket
+from turmericreach.lots import LotSpec
+from turmericreach.routing import RetryBudget, RoutingTable
+from turmericreach.rpc import Hello, PeerError, PeerServer
+from turmericreach.security import TokenTable
+from turmericreach.telemetry import events, log_event
+from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
+from turmericreach.weights import PREPARE, WantedVersion
+
+__all__ = ["GatewayDaemon"]
+
+SYNC_INTERVAL_S = 0.25
+SETTLE_TIMEOUT_S = 2.0
+CLAIM_WAIT_S = 1.0
+LIST_TIMEOUT_S = 3.0
+# Health checks fail for this long before connections are refused, so that the platform's balancer
+# stops sending requests here first.
+LEAVE_DELAY_S = 2.0
+AUDIT_DRAIN_S = 3.0
+
+
+class GatewayDaemon:
+    """The daemon on an entry host.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.fleet = FleetService(node, self.on_config, lambda: None)
+        self.table = RoutingTable(node.settings.data_centre, node.settings.region)
+        self.sync = RoutingSync(node, self.table)
+        self.peers = AgentPeers(node)
+        self.runner = RequestRunner(self, self.peers, self, RetryBudget(now=node.now()))
+        self.claims = ClaimKeeper(node.store, self, node.wall_clock)
+        self.lots = LotService(node, self.lot_context)
+        self.rollouts = WeightRollouts(node, self.fleet.take_wanted)
+        self.audit = AuditLog(node.store, node.settings.data_centre, node.name)
+        self.tokens = TokenTable(node.settings.security.tokens)
+        self.drains = DrainWriter(node)
+        self.ordinary = OrdinaryRequests(
+            self.runner, self.node.services.get, node.settings.limits
+        )
+        self.rpc = PeerServer(
+            self, node.settings.listen.ip, node.settings.listen.rpc_port, node.server_ssl
+        )
+        self.http: HttpServer | None = None
+        self.tasks: list[asyncio.Task] = []
+
+    # Life cycle
+
+    async def start(self) -> None:
+        """Open the ports; raises `OSError` if an address is in use."""
+        listen = self.node.settings.listen
+        listener = bind_socket(listen.ip, listen.http_port)
+        await self.rpc.start()
+        self.fleet.start()
+        self.http = HttpServer(
+            CancelOnDisconnect(build_app(self)),
+            listener,
+            self.node.settings.limits,
+            self.node.settings.stop_timeout_s,
+            self.node.server_ssl,
+        )
+        await self.http.start()
+        for loop in (self.sync_loop, self.lots.run, self.rollouts.run, self.audit.run):
+            self.tasks.append(asyncio.ensure_future(self.fleet.supervise(loop)))
+
+    async def stop(self) -> int:
+        """Stop gracefully; return the number of requests that were abandoned."""
+        self.node.leaving = True
+        self.node.members.set_own(self.node.now(), state="leaving")
+        self.fleet.report_now.set()
+        await asyncio.sleep(LEAVE_DELAY_S)
+        await self.lots.leave()
+        await self.http.stop()
+        await self.audit.drain(AUDIT_DRAIN_S)
+        self.node.members.set_own(self.node.now(), state="stopped")
+        self.fleet.report_now.set()
+        await asyncio.sleep(0)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.fleet.stop()
+        await self.rpc.stop()
+        await self.node.close()
+        return 0
+
+    def in_flight(self) -> int:
+        """Return the number of open caller connections."""
+        if self.http is None or self.http.server is None:
+            return 0
+        return len(self.http.server.server_state.tasks)
+
+    def ready(self) -> bool:
+        """Return whether a configuration is in force that may be served."""
+        return self.node.config.ready(self.node.now()).ready
+
+    def on_config(self) -> None:
+        """Take over a new configuration."""
+        self.ordinary.service_of = self.node.services.get
+        self.sync.configure()
+
+    async def sync_loop(self) -> None:
+        """Keep the routing table current."""
+        while True:
+            await asyncio.sleep(SYNC_INTERVAL_S)
+            if self.node.manifest is not None:
+                self.sync.update()
+
+    # Router protocol
+
+    def choose(self, request, now):
+        """Choose a target."""
+        return self.table.choose(request, now)
+
+    def on_sent(self, target, attempt_id, priority, now):
+        """Note an attempt."""
+        self.table.on_sent(target, attempt_id, priority, now)
+
+    def on_ended(self, target, attempt_id, outcome, latency_s, tokens, now):
+        """Learn from an attempt."""
+        self.table.on_ended(target, attempt_id, outcome, latency_s, tokens, now)
+
+    def state_of(self, target):
+        """Return what is believed about a target."""
+        record = self.table.records.get(target)
+        return None if record is None else record.state
+
+    # AttemptObserver protocol
+
+    async def before_send(self, request: CallerRequest, sent: SentAttempt) -> Outcome | None:
+        """Claim the key of a keyed non-idempotent request."""
+        if request.idempotent or not request.key:
+            return None
+        left_s = max(0.0, request.deadline - self.node.now())
+        return await self.claims.claim(request, sent, min(CLAIM_WAIT_S, left_s))
+
+    def on_decision(self, request_id, attempt_id, what, evidence) -> None:
+        """Record a decision for `explain`."""
+        self.node.decide(request_id, attempt_id, what, evidence)
+
+    # AttemptSettler protocol
+
+    async def settle_sent(self, sent: SentAttempt, wait_s: float) -> Outcome:
+        """Settle an attempt that another gateway may have sent."""
+        client = await self.peers.agent_of(sent.target)
+        return await client.settle(
+            sent.attempt_id,
+            sent.incarnation,
+            sent.deadline_ms,
+            wait_s,
+            wait_s + SETTLE_TIMEOUT_S,
+        )
+
+    # PeerHandler protocol
+
+    def hello(self, hello: Hello) -> Hello:
+        """Return the identity of this daemon."""
+        return self.node.hello()
+
+    async def submit(self, attempt, writer) -> Outcome:
+        """Refuse an attempt: a gateway has no targets."""
+        return Outcome(
+            Verdict.NOT_RUN,
+            code=ErrorCode.UNKNOWN_TARGET,
+            evidence=f"gateway {self.node.name} has no targets",
+        )
+
+    async def settle(self, attempt_id, incarnation, deadline_ms, wait_s) -> Outcome:
+        """Answer that nothing is known: the attempt was sent to an agent."""
+        return Outcome(
+            Verdict.MAY_HAVE_RUN,
+            code=ErrorCode.UNKNOWN_TARGET,
+            evidence=f"gateway {self.node.name} does not run attempts",
+        )
+
+    async def cancel(self, attempt_id) -> None:
+        """Ignore: a gateway runs no attempts."""
+
+    async def control(self, kind: str, body: bytes) -> bytes:
+        """Answer a control message."""
+        if kind == LOT:
+            return await self.lots.answer_peer(body)
+        if kind == INSPECT:
+            return Inspection(self.node).answer(body)
+        return await self.fleet.answer(kind, body)
+
+    # Operations of the HTTP interface
+
+    def lot_context(self, spec: LotSpec) -> LotContext:
+        """Return what a lot needs from this gateway."""
+        share = self.share_of(spec.trainer)
+        return LotContext(
+            runner=self.runner,
+            engine_view=lambda service, outstanding: self.sync.engine_view(
+                service, share, outstanding
+            ),
+            wanted_version=self.active_version,
+            target_version=self.target_version,
+        )
+
+    def share_of(self, trainer: str) -> float:
+        """Return a trainer's share of the engines, 0 to 1."""
+        shares = {item.name: item.share for item in self.node.manifest.trainers}
+        total = sum(shares.values())
+        return shares.get(trainer, 0.0) / total if total > 0 else 0.0
+
+    def active_version(self, model: str) -> int:
+        """Return the newest active version of a model, 0 if none was announced."""
+        row = self.node.wanted.active.get(model)
+        return 0 if row is None else row.version
+
+    def target_version(self, target: str) -> int:
+        """Return the last known version of a target."""
+        record = self.table.records.get(target)
+        return 0 if record is None else record.version
+
+    async def announce(self, model: str, body: AnnounceRequest, who: str) -> dict:
+        """Take over a weight version that a trainer announces."""
+        if model not in {item.name for item in self.node.manifest.models}:
+            raise RequestError(ErrorCode.UNKNOWN_VERSION, f"no model {model}", 404)
+        if body.version <= 0:
+            raise RequestError(ErrorCode.BAD_REQUEST, "version must be positive")
+        row = WantedVersion(
+            model,
+            body.version,
+            PREPARE,
+            body.change_id or uuid.uuid4().hex,
+            self.node.wall_clock(),
+            who,
+        )
+        before = self.active_version(model)
+        self.fleet.take_wanted([row])
+        log_event(events.VERSION_ANNOUNCED, version=body.version, model=model, trainer=who)
+        self.record(who, "announce", f"model/{model}", str(before), str(body.version))
+        if not await save_wanted(self.node.store, row):
+            self.rollouts.unsaved.setdefault(model, row)
+        return {"model": model, "version": body.version, "active": before}
+
+    def record(self, actor, action, subject, before="", after="") -> None:
+        """Add a record to the audit trail."""
+        self.audit.append(
+            AuditRecord(
+                self.node.wall_clock(),
+                self.node.name,
+                actor,
+                action,
+                subject,
+                before,
+                after,
+                self.node.config.generation,
+            )
+        )
+
+    async def drain(self, target: str, drain: bool, who: str) -> dict:
+        """Start or lift the drain of a target."""
+        if target not in self.node.targets:
+            raise RequestError(ErrorCode.UNKNOWN_TARGET, f"no target {target}", 404)
+        answer = await self.drains.drain(target, drain, who)
+        self.record(who, "drain" if drain else "undrain", f"target/{target}", "", str(drain))
+        return answer
+
+    def status(self) -> dict:
+        """Return what this gateway knows of the deployment."""
+        now = self.node.now()
+        members = self.node.members
+        members.tick(now)
+        rows = [
+            {
+                "name": record.name,
+                "role": record.role,
+                "data_centre": record.data_centre,
+                "state": members.member_state(record.name),
+                "generation": record.generation,
+                "age_s": round(members.age_s(record.name), 1),
+            }
+            for record in members.records.values()
+        ]
+        live = {record.name: record.generation for record in members.live(now)}
+        confirmation = Confirmation.from_generations(self.node.config.generation, live)
+        return {
+            "daemon": self.node.name,
+            "platform_up": self.fleet.platform_up,
+            "config": self.node.config.in_force_report(),
+            "confirmed": confirmation.confirmed,
+            "unconfirmed": confirmation.missing,
+            "members": sorted(rows, key=lambda row: row["name"]),
+            "wanted": [
+                {"model": row.model, "version": row.version, "phase": row.phase}
+                for row in self.node.wanted.rows()
+            ],
+        }
+
+    def target_rows(self) -> list[dict]:
+        """Return what is known of each target."""
+        rows = []
+        for name, record in sorted(self.table.records.items()):
+            rows.append(
+                {
+                    "target": name,
+                    "service": record.spec.service,
+                    "data_centre": record.spec.data_centre,
+                    "state": str(record.state),
+                    "version": record.version,
+                    "load": record.load_view(),
+                    "slots": record.slots,
+                    "speed": round(record.speed or record.spec.speed, 1),
+                }
+            )
+        return rows
+
+    async def list_lots(self) -> list:
+        """Return the lots of all live gateways."""
+        lots = msgspec.json.decode(await self.lots.list_local(LotCall(LotOperation.LIST)))
+        for name in self.node.members.gateways(self.node.now()):
+            if name == self.node.name:
+                continue
+            try:
+                client = await self.node.peers.get(self.node.members.records[name].address)
+                call = msgspec.json.encode(LotCall(LotOperation.LIST))
+                body = await client.control(LOT, call, LIST_TIMEOUT_S)
+                lots += msgspec.json.decode(msgspec.json.decode(body, type=LotReply).body)
+            except (PeerError, msgspec.DecodeError):
+                continue
+        return lots
+
+    async def explain(self, subject: str) -> list[dict]:
+        """Return the decisions of all live daemons about a request or a sample."""
+        return await inspect_members(self.node, subject)
--- /dev/null
+++ b/turmericreach/daemon/gateway_app.py
@@ -0,0 +1,204 @@
+"""HTTP routes of a gateway."""
+
+import msgspec
+from blacksheep import Application, Content, Request, Response
+from blacksheep.server.routing import Router
+
+from turmericreach.api import AnnounceRequest, DrainRequest, PullRequest
+from turmericreach.daemon.lot_calls import LotCall, LotOperation
+from turmericreach.daemon.lot_service import MAX_PULL_WAIT_S, decode_body
+from turmericreach.httpserver import error_response, json_response, read_body, read_json
+from turmericreach.security import TokenRole
+from turmericreach.telemetry import events, log_event
+from turmericreach.verdicts import ErrorCode, RequestError, Verdict
+
+__all__ = ["build_app"]
+
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+JSON = b"application/json"
+
+
+def build_app(gateway) -> Application:
+    """Return the ASGI application of a `GatewayDaemon`."""
+    app = Application(router=Router())
+    routes = GatewayRoutes(gateway)
+    add = app.router.add
+    add("GET", "/healthz", routes.health)
+    add("POST", "/v1/lots", routes.declare_lot)
+    add("GET", "/v1/lots", routes.list_lots)
+    add("GET", "/v1/lots/{lot}", routes.lot_status)
+    add("POST", "/v1/lots/{lot}/pull", routes.pull)
+    add("POST", "/v1/lots/{lot}/ack", routes.acknowledge)
+    add("POST", "/v1/lots/{lot}/cancel", routes.cancel_lot)
+    add("PUT", "/v1/models/{model}/version", routes.announce)
+    add("GET", "/v1/status", routes.status)
+    add("GET", "/v1/targets", routes.targets)
+    add("POST", "/v1/targets/{target}/drain", routes.drain)
+    add("GET", "/v1/explain/*", routes.explain)
+    for method in METHODS:
+        add(method, "/services/{service}", routes.ordinary)
+        add(method, "/services/{service}/*", routes.ordinary)
+    app.exceptions_handlers[RequestError] = handle_request_error
+    app.exceptions_handlers[404] = handle_not_found
+    app.exceptions_handlers[Exception] = handle_unexpected
+    return app
+
+
+async def handle_request_error(app, request: Request, error: RequestError) -> Response:
+    """Answer an error with a stable code."""
+    return error_response(error, getattr(error, "request_id", ""))
+
+
+async def handle_not_found(app, request: Request, error) -> Response:
+    """Answer a path that does not exist."""
+    return error_response(RequestError(ErrorCode.BAD_REQUEST, "no such path", 404))
+
+
+async def handle_unexpected(app, request: Request, error: Exception) -> Response:
+    """Answer an unexpected error; whether the request ran is not known."""
+    log_event(
+        events.INTERNAL_ERROR,
+        error=f"{type(error).__name__}: {error}",
+        where=request.url.path.decode("ascii", "replace"),
+    )
+    return error_response(
+        RequestError(ErrorCode.INTERNAL, "internal error", 500, Verdict.MAY_HAVE_RUN)
+    )
+
+
+class GatewayRoutes:
+    """Handlers of the routes.
+
+    Parameters
+    ----------
+    gateway : GatewayDaemon
+    """
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.limits = gateway.node.settings.limits
+
+    def authorize(self, request: Request, role: TokenRole) -> str:
+        """Return who calls; raises `RequestError` without the role."""
+        if not self.gateway.tokens.entries:
+            return "anonymous"
+        value = request.get_first_header(b"authorization")
+        return self.gateway.tokens.authorize((value or b"").decode("latin-1"), role)
+
+    def require_ready(self) -> None:
+        """Refuse requests until a configuration is in force."""
+        if self.gateway.node.manifest is None or not self.gateway.ready():
+            raise RequestError(
+                ErrorCode.NOT_READY, "no configuration is in force yet", 503, retry_after_s=1.0
+            )
+
+    async def body(self, request: Request, max_bytes: int) -> bytes:
+        """Read a body within the limits."""
+        return await read_body(request, max_bytes, self.limits.slow_sender_timeout_s)
+
+    async def health(self, request: Request) -> Response:
+        """Tell the balancer whether to send requests here."""
+        if self.gateway.node.leaving:
+            return json_response({"state": "leaving"}, 503)
+        if not self.gateway.ready():
+            return json_response({"state": "starting"}, 503)
+        return json_response({"state": "ready"})
+
+    async def lot_call(self, request, role, operation, lot, max_bytes, wait_s=0.0) -> Response:
+        """Pass a lot call on to its coordinator."""
+        self.authorize(request, role)
+        self.require_ready()
+        body = await self.body(request, max_bytes)
+        return await self.run_lot_call(LotCall(operation, lot, body, wait_s))
+
+    async def run_lot_call(self, call: LotCall) -> Response:
+        """Run a lot call and return its JSON answer."""
+        reply = await self.gateway.lots.call(call)
+        return raw_json(reply.body)
+
+    async def declare_lot(self, request: Request) -> Response:
+        """Declare a lot."""
+        self.authorize(request, TokenRole.TRAINER)
+        self.require_ready()
+        body = await self.body(request, self.limits.max_lot_bytes)
+        name = decode_body(body, LotName).name
+        return await self.run_lot_call(LotCall(LotOperation.DECLARE, name, body))
+
+    async def pull(self, request: Request, lot: str) -> Response:
+        """Hand finished samples to a trainer."""
+        self.authorize(request, TokenRole.TRAINER)
+        self.require_ready()
+        body = await self.body(request, self.limits.max_body_bytes)
+        wanted = decode_body(body, PullRequest)
+        if not 0 <= wanted.wait_s <= MAX_PULL_WAIT_S:
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, f"wait_s must be between 0 and {MAX_PULL_WAIT_S:g}"
+            )
+        call = LotCall(LotOperation.PULL, lot, body, wanted.wait_s)
+        return await self.run_lot_call(call)
+
+    async def acknowledge(self, request: Request, lot: str) -> Response:
+        """Take over an acknowledged cursor."""
+        return await self.lot_call(
+            request, TokenRole.TRAINER, LotOperation.ACK, lot, self.limits.max_body_bytes
+        )
+
+    async def cancel_lot(self, request: Request, lot: str) -> Response:
+        """End a lot."""
+        return await self.lot_call(request, TokenRole.TRAINER, LotOperation.CANCEL, lot, 1024)
+
+    async def lot_status(self, request: Request, lot: str) -> Response:
+        """Return the state of a lot."""
+        return await self.lot_call(request, TokenRole.TRAINER, LotOperation.STATUS, lot, 1024)
+
+    async def list_lots(self, request: Request) -> Response:
+        """Return the lots of all live gateways."""
+        self.authorize(request, TokenRole.OPERATOR)
+        return json_response(await self.gateway.list_lots())
+
+    async def announce(self, request: Request, model: str) -> Response:
+        """Take over a weight version that a trainer announces."""
+        who = self.authorize(request, TokenRole.TRAINER)
+        self.require_ready()
+        body = await read_json(request, AnnounceRequest, 4096, self.limits.slow_sender_timeout_s)
+        return json_response(await self.gateway.announce(model, body, who))
+
+    async def status(self, request: Request) -> Response:
+        """Return what this gateway knows of the deployment."""
+        self.authorize(request, TokenRole.OPERATOR)
+        return json_response(self.gateway.status())
+
+    async def targets(self, request: Request) -> Response:
+        """Return what is known of each target."""
+        self.authorize(request, TokenRole.OPERATOR)
+        return json_response(self.gateway.target_rows())
+
+    async def drain(self, request: Request, target: str) -> Response:
+        """Start or lift the drain of a target."""
+        who = self.authorize(request, TokenRole.OPERATOR)
+        self.require_ready()
+        body = await read_json(request, DrainRequest, 4096, self.limits.slow_sender_timeout_s)
+        return json_response(await self.gateway.drain(target, body.drain, who))
+
+    async def explain(self, request: Request) -> Response:
+        """Return the decisions about a request or a sample."""
+        self.authorize(request, TokenRole.OPERATOR)
+        path = request.url.path.decode("ascii", "replace")
+        return json_response(await self.gateway.explain(path.removeprefix("/v1/explain/")))
+
+    async def ordinary(self, request: Request, service: str) -> Response:
+        """Run an ordinary request."""
+        self.authorize(request, TokenRole.CALLER)
+        self.require_ready()
+        return await self.gateway.ordinary.handle(request, service, not self.gateway.tokens.entries)
+
+
+class LotName(msgspec.Struct):
+    """The field of a lot declaration that names its coordinator."""
+
+    name: str
+
+
+def raw_json(body: bytes) -> Response:
+    """Return a response whose body is JSON already."""
+    return Response(200, content=Content(JSON, body))
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from turmericreach.attempts import AttemptEntry, AttemptTable
-from turmericreach.daemon.completions import generation_outcome, parse_completion
+from turmericreach.daemon.completions import CompletionResult, generation_outcome, parse_completion
 from turmericreach.limits import (
     Admission,
     Admitted,
@@ -63,7 +63,9 @@
         self.calendar = SiteCalendar(manifest.sites)
         self.waiting: dict[str, asyncio.Future] = {}
         self.version = 0
+        self.prepared = 0
         self.reachable = True
+        self.drained = False
 
     @property
     def is_model(self) -> bool:
@@ -77,6 +79,7 @@
         self.service = service
         self.calendar = SiteCalendar(manifest.sites)
         self.admission.configure(service, manifest.policy, shares)
+        self.window.resize(spec.slots)
         self.wake(self.admission.resize(spec.slots, now))
 
     def steer(self, now: float, wall: datetime.datetime) -> None:
@@ -84,7 +87,7 @@
         if self.is_model:
             reserved = self.calendar.reserved_slots(self.spec.slots, wall)
             self.wake(self.admission.set_reserved(reserved, now))
-            limit = self.window.tick(now)
+            limit = self.window.update(now)
             self.wake(self.admission.set_rollout_limit(limit, now))
         for ticket_id in self.admission.expire(now):
             self.give_up(ticket_id, ErrorCode.DEADLINE_EXCEEDED, "deadline passed in the queue")
@@ -140,7 +143,7 @@
 
     async def admit(self, entry, attempt: Attempt, loop) -> Outcome | None:
         """Wait for a slot; return the refusal if there is none."""
-        if self.spec.drain:
+        if self.spec.drain or self.drained:
             return self.table.revoke(entry, ErrorCode.LEAVING, "the target is drained")
         if attempt.min_version > self.version and self.is_model:
             return self.table.revoke(
@@ -207,7 +210,9 @@
         try:
             request = parse_completion(attempt, ROLLOUT_PRIORITY)
             async with asyncio.timeout(left_s):
+                started_version = await self.read_version()
                 generation = await self.engine.generate(request)
+                finished_version = await self.read_version()
         except RequestError as error:
             return self.table.refuse(error.code, error.message)
         except EngineError as error:
@@ -219,4 +224,20 @@
             )
         except TimeoutError:
             return self.table.unknown(ErrorCode.DEADLINE_EXCEEDED, "no completion in time")
-        return generation_outcome(generation, self.spec.name)
+        result = CompletionResult(
+            generation.text,
+            generation.tokens,
+            generation.finish_reason,
+            self.spec.name,
+            attempt.attempt_id,
+            started_version,
+            finished_version,
+        )
+        return generation_outcome(generation, result)
+
+    async def read_version(self) -> int | None:
+        """Return the engine's version, None if it cannot be read."""
+        try:
+            return (await self.engine.version()).version
+        except EngineError:
+            return None
--- /dev/null
+++ b/turmericreach/daemon/node.py
@@ -0,0 +1,124 @@
+"""State that every daemon has, whatever its role."""
+
+import asyncio
+import time
+
+import attrs
+
+from turmericreach.attempts import new_incarnation
+from turmericreach.config import ConfigState
+from turmericreach.manifest import Manifest, ServiceSpec, TargetSpec
+from turmericreach.membership import MemberRecord, MemberTable
+from turmericreach.objectstore import CallBudget, HttpObjectStore
+from turmericreach.rpc import Hello, PeerPool
+from turmericreach.settings import DaemonSettings
+from turmericreach.telemetry import Decision, DecisionTrace, Metrics
+from turmericreach.weights import WantedTable
+
+__all__ = ["Node"]
+
+START_SHIFT = 20
+RANDOM_MASK = (1 << START_SHIFT) - 1
+# 340 daemons at 6 calls a second would exceed the object API; only relays and coordinators call
+# it in steady state, and the bound keeps a fault of one daemon from taking everybody's share.
+STORE_CALLS_PER_S = 40.0
+STORE_BURST = 40
+
+
+class Node:
+    """Identity, configuration, members and connections of this process.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+    now : float
+        Loop time in seconds.
+    ssl : tuple of (server context, client context) or (None, None)
+    """
+
+    def __init__(self, settings: DaemonSettings, now: float, ssl=(None, None)):
+        self.settings = settings
+        self.started_at = now
+        self.incarnation = new_incarnation()
+        self.server_ssl, self.client_ssl = ssl
+        own = MemberRecord(
+            name=settings.name,
+            role=settings.role.value,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            address=f"{settings.listen.ip}:{settings.listen.rpc_port}",
+            http_address=self.http_address(),
+            started_ms=self.incarnation >> START_SHIFT,
+            incarnation=self.incarnation & RANDOM_MASK,
+        )
+        self.members = MemberTable(own, now)
+        self.config = ConfigState(now)
+        self.manifest: Manifest | None = None
+        self.services: dict[str, ServiceSpec] = {}
+        self.targets: dict[str, TargetSpec] = {}
+        self.wanted = WantedTable()
+        self.peers = PeerPool(self.hello, self.client_ssl)
+        self.store = HttpObjectStore(
+            settings.platform.url,
+            settings.platform.token,
+            settings.platform.timeout_s,
+            CallBudget(STORE_CALLS_PER_S, STORE_BURST),
+        )
+        self.trace = DecisionTrace()
+        self.metrics = Metrics(settings.telemetry.statsd, settings.name)
+        self.leaving = False
+
+    @property
+    def name(self) -> str:
+        """Name of this daemon."""
+        return self.settings.name
+
+    def http_address(self) -> str:
+        """Return the address for callers, empty if there is none."""
+        listen = self.settings.listen
+        return f"{listen.ip}:{listen.http_port}" if listen.http_port else ""
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall_clock(self) -> float:
+        """Return the time of day in seconds."""
+        return time.time()
+
+    def hello(self) -> Hello:
+        """Return the identity for a connection."""
+        return Hello(
+            name=self.settings.name,
+            role=self.settings.role.value,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
+            generation=self.config.generation,
+            clock_ms=int(self.now() * 1000),
+        )
+
+    def install(self, manifest: Manifest) -> None:
+        """Put a manifest in force for look-ups by name."""
+        self.manifest = manifest
+        self.services = {service.name: service for service in manifest.services}
+        self.targets = {target.name: target for target in manifest.targets}
+
+    def decide(self, request_id: str, attempt_id: str, what: str, evidence: str) -> None:
+        """Record a decision for `explain`."""
+        self.trace.record(
+            Decision(self.wall_clock(), self.name, request_id, attempt_id, what, evidence)
+        )
+
+    async def close(self) -> None:
+        """Close connections."""
+        self.peers.close()
+        await self.store.close()
+
+
+@attrs.frozen
+class Address:
+    """A peer address with the name and data centre that are known of it."""
+
+    address: str
+    name: str = ""
+    data_centre: str = ""
--- /dev/null
+++ b/turmericreach/daemon/rollout.py
@@ -0,0 +1,155 @@
+"""The duty of rolling a model's weights out, held by one gateway at a time."""
+
+import asyncio
+
+import attrs
+import msgspec
+
+from turmericreach.daemon.node import Node
+from turmericreach.objectstore import Conflict, ObjectStoreError, StoredObject, write_settled
+from turmericreach.ownership import owner, weights_duty
+from turmericreach.rpc import PeerError
+from turmericreach.telemetry import events, log_event
+from turmericreach.weights import RolloutPlanner, TargetProgress, WantedVersion
+
+__all__ = ["GRANT", "GrantMessage", "WeightRollouts"]
+
+GRANT = "grant"
+WEIGHTS_KIND = "weights"
+STEP_S = 0.5
+CALL_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class GrantMessage:
+    """Allows a target to download a version."""
+
+    target: str
+    version: int
+
+
+class WeightRollouts:
+    """Plans the rollouts of the models whose duty falls to this gateway.
+
+    Parameters
+    ----------
+    node : Node
+    take_wanted : callable
+        Takes a list of `WantedVersion` that this daemon decided.
+    """
+
+    def __init__(self, node: Node, take_wanted):
+        self.node = node
+        self.take_wanted = take_wanted
+        self.planners: dict[str, RolloutPlanner] = {}
+        self.unsaved: dict[str, WantedVersion] = {}
+
+    async def run(self) -> None:
+        """Plan twice a second."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Plan each model of this gateway once."""
+        if self.node.manifest is None:
+            return
+        now = self.node.now()
+        gateways = self.node.members.gateways(now)
+        for model in self.node.manifest.models:
+            if owner(weights_duty(model.name), gateways) != self.node.name:
+                self.planners.pop(model.name, None)
+                continue
+            wanted = self.node.wanted.newest.get(model.name)
+            if wanted is None:
+                continue
+            planner = self.planners.get(model.name)
+            if planner is None or planner.model != model:
+                planner = self.planners[model.name] = RolloutPlanner(model)
+            planner.want(wanted, now)
+            plan = planner.plan(self.progress(model.name, now), now)
+            await asyncio.gather(*(self.send_grant(grant) for grant in plan.grants))
+            if plan.activate is not None:
+                await self.activate(plan.activate, now)
+        await self.save_pending()
+
+    def progress(self, model: str, now: float) -> list[TargetProgress]:
+        """Return the state of the model's targets."""
+        rows = []
+        for service in self.node.services.values():
+            if service.model != model:
+                continue
+            for spec in self.node.targets.values():
+                if spec.service == service.name:
+                    rows.append(self.target_progress(spec.name, now))
+        return rows
+
+    def target_progress(self, name: str, now: float) -> TargetProgress:
+        """Return the state of one target."""
+        holder = self.node.members.holder_of(name, now)
+        if holder is None:
+            return TargetProgress(name, usable=False)
+        usable = self.node.members.state_of(name, now) == "live"
+        for status in holder.targets:
+            if status.name == name:
+                return TargetProgress(name, status.prepared, status.version, usable)
+        return TargetProgress(name, usable=False)
+
+    async def send_grant(self, grant) -> None:
+        """Tell an agent that its target may download."""
+        holder = self.node.members.holder_of(grant.target, self.node.now())
+        if holder is None:
+            return
+        try:
+            client = await self.node.peers.get(holder.address)
+            body = msgspec.json.encode(GrantMessage(grant.target, grant.version))
+            await client.control(GRANT, body, CALL_TIMEOUT_S)
+        except PeerError:
+            self.node.peers.drop(holder.address)
+
+    async def activate(self, row: WantedVersion, now: float) -> None:
+        """Announce the activation once."""
+        active = self.node.wanted.active.get(row.model)
+        if active is not None and active.order >= row.order:
+            return
+        targets = self.progress(row.model, now)
+        ready = sum(max(item.prepared, item.version) >= row.version for item in targets)
+        log_event(
+            events.VERSION_ACTIVATED,
+            model=row.model,
+            version=row.version,
+            prepared=ready,
+            targets=len(targets),
+        )
+        self.take_wanted([row])
+        self.unsaved[row.model] = row
+
+    async def save_pending(self) -> None:
+        """Write decided versions to the platform; what fails is tried again."""
+        for model, row in list(self.unsaved.items()):
+            if await save_wanted(self.node.store, row):
+                self.unsaved.pop(model, None)
+
+
+async def save_wanted(store, row: WantedVersion) -> bool:
+    """Raise the stored wanted version of a model; return False if it must be tried again."""
+
+    def make_value(current: StoredObject | None) -> bytes | None:
+        if current is not None:
+            held = msgspec.json.decode(current.value, type=WantedVersion)
+            if held.order >= row.order:
+                return None
+        return msgspec.json.encode(row)
+
+    def change_id_of(value: bytes) -> str:
+        held = msgspec.json.decode(value, type=WantedVersion)
+        return f"{held.change_id}:{held.phase}"
+
+    try:
+        await write_settled(store, WEIGHTS_KIND, row.model, make_value, change_id_of)
+    except (Conflict, ObjectStoreError) as error:
+        log_event(
+            events.WRITE_UNKNOWN, kind=WEIGHTS_KIND, name=row.model, error=str(error)
+        )
+        return False
+    return True
--- /dev/null
+++ b/turmericreach/daemon/routing_sync.py
@@ -0,0 +1,184 @@
+"""Carries what the member table and the manifest say over to the routing table."""
+
+import attrs
+
+from turmericreach.daemon.node import Node
+from turmericreach.lots import EngineState, EngineView
+from turmericreach.membership import MemberRecord, TargetStatus
+from turmericreach.routing import LoadReport, RoutingTable, TargetState
+from turmericreach.rpc import PeerClient, PeerUnreachable
+
+__all__ = ["AgentPeers", "RoutingSync"]
+
+STATES = {
+    "live": TargetState.LIVE,
+    "leaving": TargetState.LEAVING,
+    "stopped": TargetState.LEAVING,
+    "drained": TargetState.LEAVING,
+    "suspect": TargetState.SUSPECT,
+    "down": TargetState.SUSPECT,
+    "gone": TargetState.GONE,
+}
+# Rollouts may wait at an engine beyond its slots by this share, so that a slot that becomes free
+# is taken without a round trip and the agent can divide slots fairly among trainers.
+QUEUE_AHEAD_SHARE = 0.5
+
+
+@attrs.define
+class Applied:
+    """What was last carried over of one member."""
+
+    record: MemberRecord
+    state: str
+
+
+class RoutingSync:
+    """Keeps a `RoutingTable` current.
+
+    Parameters
+    ----------
+    node : Node
+    table : RoutingTable
+    """
+
+    def __init__(self, node: Node, table: RoutingTable):
+        self.node = node
+        self.table = table
+        self.applied: dict[str, Applied] = {}
+
+    def configure(self) -> None:
+        """Take over the manifest in force."""
+        manifest = self.node.manifest
+        self.table.configure(manifest.services, manifest.targets, manifest.data_centres)
+        self.applied.clear()
+        self.update()
+
+    def update(self) -> None:
+        """Take over changed member records and states; called a few times a second."""
+        now = self.node.now()
+        members = self.node.members
+        members.tick(now)
+        for name, record in members.records.items():
+            state = members.member_state(name)
+            known = self.applied.get(name)
+            if known is not None and known.record is record and known.state == state:
+                continue
+            self.applied[name] = Applied(record, state)
+            self.apply(record, state, now)
+        for name in list(self.applied.keys() - members.records.keys()):
+            self.drop(self.applied.pop(name), now)
+
+    def apply(self, record: MemberRecord, state: str, now: float) -> None:
+        """Take over one member's targets."""
+        for status in record.targets:
+            if not self.is_holder(record, status):
+                continue
+            target_state = self.state_of(status, state)
+            report = LoadReport(
+                target=status.name,
+                state=target_state,
+                version=status.version,
+                running=status.running,
+                waiting=status.waiting,
+                slots=status.slots,
+                reported_at=now,
+            )
+            self.table.observe(report, now)
+            self.table.mark(status.name, target_state, now)
+
+    def is_holder(self, record: MemberRecord, status: TargetStatus) -> bool:
+        """Return whether this member is the one that serves the target now."""
+        holder = self.node.members.holder_of(status.name, self.node.now())
+        return holder is not None and holder.name == record.name
+
+    def state_of(self, status: TargetStatus, member_state: str) -> TargetState:
+        """Return the state of a target from its own and its member's."""
+        if member_state != "live":
+            return STATES.get(member_state, TargetState.SUSPECT)
+        spec = self.node.targets.get(status.name)
+        if status.drained or (spec is not None and spec.drain):
+            return TargetState.LEAVING
+        return TargetState.LIVE if status.state == "up" else TargetState.SUSPECT
+
+    def drop(self, applied: Applied, now: float) -> None:
+        """Mark the targets of a removed member as gone, unless another member has them."""
+        for status in applied.record.targets:
+            if self.node.members.holder_of(status.name, now) is None:
+                self.table.mark(status.name, TargetState.GONE, now)
+
+    def engine_view(self, service: str, share: float, outstanding: int) -> EngineView:
+        """Return the engines of a service with the rollouts that a lot may start on them.
+
+        Parameters
+        ----------
+        share : float
+            The trainer's share of the engines, 0 to 1. A lot may always have as many rollouts
+            in flight as its share, however much other lots have queued.
+        outstanding : int
+            Rollouts that the lot has in flight.
+        """
+        engines = []
+        total_slots = 0
+        for record in self.table.records.values():
+            if record.spec.service != service or record.state is not TargetState.LIVE:
+                continue
+            total_slots += record.slots
+            ahead = max(1, int(record.slots * QUEUE_AHEAD_SHARE))
+            free = max(0, record.slots + ahead - record.load_view())
+            speed = record.speed or record.spec.speed
+            engines.append(EngineState(record.spec.name, record.version, free, speed))
+        owed = int(total_slots * share) - outstanding
+        if sum(engine.free_slots for engine in engines) >= owed:
+            return EngineView(engines)
+        return EngineView(spread(engines, owed))
+
+
+def spread(engines: list[EngineState], slots: int) -> list[EngineState]:
+    """Return the engines with at least `slots` free slots in total, evenly raised."""
+    raised = []
+    left = slots
+    for position, engine in enumerate(engines):
+        portion = -(-left // (len(engines) - position))
+        free = max(engine.free_slots, portion)
+        left -= portion
+        raised.append(attrs.evolve(engine, free_slots=free))
+    return raised
+
+
+class AgentPeers:
+    """Connections to the agents beside targets.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+
+    def address_of(self, target: str) -> str:
+        """Return the address of a target's agent.
+
+        Raises
+        ------
+        PeerUnreachable
+            If no address is known.
+        """
+        holder = self.node.members.holder_of(target, self.node.now())
+        if holder is not None:
+            return holder.address
+        spec = self.node.targets.get(target)
+        if spec is None:
+            raise PeerUnreachable(f"no agent is known for {target}")
+        return spec.agent
+
+    async def agent_of(self, target: str) -> PeerClient:
+        """Return a connection to the agent beside a target."""
+        return await self.node.peers.get(self.address_of(target))
+
+    def drop_agent_of(self, target: str) -> None:
+        """Close the connection to the agent beside a target."""
+        try:
+            self.node.peers.drop(self.address_of(target))
+        except PeerUnreachable:
+            return
--- a/turmericreach/lots/spec.py
+++ b/turmericreach/lots/spec.py
@@ -14,6 +14,7 @@
     "LotLimits",
     "LotSpec",
     "check_lot",
+    "chunk_names",
     "decode_lot",
     "encode_lot",
     "is_redeclaration",
@@ -255,6 +256,20 @@
     return [*objects, (spec.name, msgspec.json.encode(head))]
 
 
+def chunk_names(head_value):
+    """Return the names of the chunks that a stored head lists.
+
+    Raises
+    ------
+    RequestError
+        With code ``unknown_lot`` if the head is damaged.
+    """
+    try:
+        return msgspec.json.decode(head_value, type=LotHead).chunks
+    except msgspec.DecodeError as error:
+        raise unreadable("the stored head is damaged") from error
+
+
 def join_lot(objects):
     """Read a spec from its stored objects, in any order.
 
--- a/turmericreach/routing/model.py
+++ b/turmericreach/routing/model.py
@@ -56,6 +56,8 @@
         Time in seconds; a target expected to finish later is not chosen.
     prefix_tokens : int
         Length of the prefix, 0 if unknown.
+    prefer : str
+        Target to choose while it may be chosen and has a free slot, empty for none.
     """
 
     service: str
@@ -66,6 +68,7 @@
     expected_tokens: int = 0
     latest_finish_at: float = math.inf
     prefix_tokens: int = 0
+    prefer: str = ""
 
 
 @attrs.frozen
--- a/turmericreach/routing/table.py
+++ b/turmericreach/routing/table.py
@@ -140,6 +140,9 @@
         """
         if request.service not in self.tiers:
             return Refusal(ErrorCode.UNKNOWN_SERVICE, 0.0, f"unknown service {request.service}")
+        preferred = self.preferred(request, now)
+        if preferred is not None:
+            return preferred
         candidates = self.sample(request, now)
         in_time = [item for item in candidates if self.ends_in_time(item, request, now)]
         if not in_time:
@@ -155,6 +158,17 @@
             self.prefixes.remember(request.prefix, chosen.name, now)
         return Choice(chosen.name, f"{reason}, expected in {chosen.completion_s:.3f} s")
 
+    def preferred(self, request, now):
+        """Choose the target that the request prefers, if it has a free slot."""
+        record = self.records.get(request.prefer)
+        if record is None or record.spec.service != request.service:
+            return None
+        if not self.eligible(request.prefer, request, now) or record.load_view() >= record.slots:
+            return None
+        if request.prefix:
+            self.prefixes.remember(request.prefix, request.prefer, now)
+        return Choice(request.prefer, "preferred and free")
+
     def sample(self, request, now):
         """Draw candidates from each tier."""
         candidates = []
--- a/turmericreach/targets/openai.py
+++ b/turmericreach/targets/openai.py
@@ -14,6 +14,7 @@
     EngineVersion,
     Generation,
     GenerationRequest,
+    OrderKind,
     OrderRefused,
 )
 from turmericreach.targets.labels import LabelBuilder
@@ -29,6 +30,7 @@
 END_OF_STREAM = b"[DONE]"
 REFUSED_STATUSES = (429, 503)
 CONFLICT_STATUS = 409
+ARGUMENT_FIELDS = {OrderKind.LOAD_ADAPTER: "adapter", OrderKind.ROLE: "role"}
 
 
 class OpenAIEngine:
@@ -114,8 +116,9 @@
             "order": order.kind.value,
             "version": order.version,
             "fencing": order.fencing,
-            "argument": order.argument,
         }
+        if order.argument:
+            body[ARGUMENT_FIELDS[order.kind]] = order.argument
         if order.token:
             body["token"] = order.token
         answer = await self.call("POST", "/v1/orders", body, timeout_s=ORDER_TIMEOUT_S)
--- a/turmericreach/telemetry/events.py
+++ b/turmericreach/telemetry/events.py
@@ -231,6 +231,13 @@
     "weight store asks to wait {seconds:.1f} s",
     "Lower prepare_concurrency if it repeats.",
 )
+VERSION_LEARNED = Event(
+    "TR1509",
+    "version_learned",
+    Level.INFO,
+    "version {version} of {model} is wanted in phase {phase}",
+    extra=("source",),
+)
 
 # Lots
 
@@ -257,7 +264,6 @@
     Level.INFO,
     "sample {sample} discarded: {reason}",
     "None; check the staleness bound if it is frequent.",
-    extra=("tokens",),
 )
 STRAGGLER_COPIED = Event(
     "TR1606", "straggler_copied", Level.INFO, "straggler {sample} copied to {target}"
