Converge targets on wanted weights and plan the rollout

Cause: swaps fail, land elsewhere or lose their answer, engines restart on old versions, and racing rollout duties must not move an engine back. Ruled out: deriving the order from a number that an engine names, which would stop a target for good at an engine that names a wrong one. Change: monotone wanted versions, a converger that reads the real version after each order, fencing numbers of 63 bits, and a planner of grants and activation.

--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -95,6 +95,24 @@
     assert relay.member_state("ag") == "live"
 
 
+def test_later_record_of_a_leaving_process_does_not_make_it_live():
+    """Guards against a daemon of another release that takes back its leaving."""
+    relay = build_relay()
+    relay.merge(build_record("ag", state="leaving"))
+    relay.merge(build_record("ag", state="live", sequence=2))
+    assert relay.member_state("ag") == "leaving"
+
+
+def test_own_pause_is_not_held_against_the_relays():
+    """Guards against a resumed daemon that leaves out relays whose answers wait in its buffers."""
+    agent = MemberTable(build_record("ag"), 0.0)
+    report(build_relay(), agent, 0.0)
+    agent.merge(build_record("gw", "gateway"))
+    agent.make_report("gw", 1.0)
+    agent.tick(6.0)
+    assert [item.name for item in agent.relays("a", 6.0)][0] == "gw"
+
+
 def run_small():
     fleet = Fleet(data_centres=2, gateways=3, agents=3, targets=1)
     fleet.step(6)
--- /dev/null
+++ b/tests/weights/test_converger.py
@@ -0,0 +1,223 @@
+"""Convergence of one target under any order of faults."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from turmericreach.weights import (
+    ACTIVATE,
+    PREPARE,
+    Action,
+    ActionKind,
+    ActionResult,
+    FencingNumbers,
+    ResultKind,
+    TargetConverger,
+    WantedTable,
+    WantedVersion,
+    fencing_number,
+)
+
+
+class FakeEngine:
+    """Serves one version; may ignore fencing numbers."""
+
+    def __init__(self, fencing):
+        self.fencing = fencing
+        self.highest = 0
+        self.actual = 1
+        self.prepared = 0
+
+    def run(self, action):
+        if self.fencing and action.fencing < self.highest:
+            return ActionResult(ResultKind.FENCED, fencing=self.highest)
+        self.highest = max(self.highest, action.fencing)
+        if action.kind is ActionKind.PREPARE:
+            self.prepared = action.version
+            return ActionResult(ResultKind.OK)
+        if self.prepared != action.version:
+            return ActionResult(ResultKind.FAILED)
+        self.actual = action.version
+        return ActionResult(ResultKind.OK)
+
+
+class ConvergerMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.engine = FakeEngine(fencing=True)
+        self.converger = TargetConverger(FencingNumbers(100))
+        self.late = []
+        self.activated = 0
+
+    def step(self, fault="none"):
+        action = self.converger.next_action(self.now)
+        if action.kind is ActionKind.WAIT:
+            assert action.until > self.now
+            self.now = action.until
+            return
+        if action.kind is ActionKind.READ:
+            if fault == "none":
+                self.converger.observe(self.engine.actual, self.engine.prepared, self.now)
+            else:
+                self.converger.on_action_result(action, ActionResult(ResultKind.LOST), self.now)
+            return
+        assert action.version >= self.converger.active
+        assert 0 <= action.fencing < 2**63
+        if action.kind is ActionKind.ACTIVATE:
+            assert action.version >= self.activated
+            self.activated = action.version
+        self.converger.on_action_result(action, self.deliver(action, fault), self.now)
+
+    def deliver(self, action, fault):
+        if fault == "failed":
+            return ActionResult(ResultKind.FAILED)
+        if fault == "busy":
+            return ActionResult(ResultKind.BUSY, retry_after_s=1.0)
+        if fault == "late":
+            self.late.append(action)
+            return ActionResult(ResultKind.LOST)
+        result = self.engine.run(action)
+        if fault == "elsewhere" and action.kind is ActionKind.ACTIVATE:
+            self.engine.actual = action.version - 1
+        return ActionResult(ResultKind.LOST) if fault == "lost" else result
+
+    @rule(version=st.integers(-1, 8), phase=st.sampled_from([PREPARE, ACTIVATE]))
+    def want(self, version, phase):
+        before = (self.converger.preparing, self.converger.active)
+        self.converger.want(version, phase)
+        assert (self.converger.preparing, self.converger.active) >= before
+
+    @rule(version=st.integers(1, 8))
+    def grant(self, version):
+        self.converger.grant(version)
+
+    @rule(fault=st.sampled_from(["none", "none", "lost", "late", "failed", "busy", "elsewhere"]))
+    def act(self, fault):
+        self.step(fault)
+
+    @rule()
+    def late_order_arrives(self):
+        if self.late:
+            self.engine.run(self.late.pop(0))
+
+    @rule(fencing=st.booleans(), actual=st.integers(0, 12))
+    def engine_restarts(self, fencing, actual):
+        highest = self.engine.highest
+        self.engine = FakeEngine(fencing)
+        self.engine.highest = highest
+        self.engine.actual = actual
+
+    @rule(seen=st.integers(0, 2**40))
+    def engine_saw_another_number(self, seen):
+        self.engine.highest = max(self.engine.highest, seen)
+
+    @rule()
+    def agent_restarts(self):
+        old = self.converger
+        self.converger = TargetConverger(FencingNumbers(old.numbers.start + 1))
+        self.converger.want(old.preparing, PREPARE)
+        self.converger.want(old.active, ACTIVATE)
+
+    def teardown(self):
+        while self.late:
+            self.engine.run(self.late.pop())
+        limit = self.now + 40.0
+        while self.now < limit:
+            self.step()
+        assert self.engine.actual >= self.converger.active
+        assert self.converger.is_converged()
+        assert self.converger.eligible_version() == self.engine.actual
+
+
+TestConverger = ConvergerMachine.TestCase
+TestConverger.settings = settings(
+    derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
+)
+
+
+def test_version_above_the_wanted_one_is_reported_and_left():
+    """Guards against an order that moves an engine back."""
+    converger = TargetConverger(FencingNumbers(1))
+    converger.want(5, ACTIVATE)
+    converger.observe(9, 9, 0.0)
+    assert converger.ahead == 9
+    assert converger.next_action(0.0).kind is ActionKind.WAIT
+    converger.want(4, ACTIVATE)
+    assert converger.active == 5
+
+
+def test_failures_back_off_up_to_the_cap():
+    """Guards against a loop of orders at an engine that cannot swap."""
+    converger = TargetConverger(FencingNumbers(1))
+    converger.want(5, ACTIVATE)
+    now, orders = 0.0, 0
+    while now < 60.0:
+        action = converger.next_action(now)
+        if action.kind is ActionKind.WAIT:
+            now = action.until
+        elif action.kind is ActionKind.READ:
+            converger.observe(1, 5, now)
+        else:
+            orders += 1
+            converger.on_action_result(action, ActionResult(ResultKind.OK), now)
+    assert 5 <= orders <= 15
+
+
+@pytest.mark.parametrize(("low", "high"), [((1, 2**32 - 1), (2, 0)), ((2, 7), (2, 8))])
+def test_fencing_numbers_are_monotone(low, high):
+    """Guards against a number that falls over a restart of the agent."""
+    assert fencing_number(*low) < fencing_number(*high) < 2**63
+
+
+@pytest.mark.parametrize("seen", [fencing_number(5, 900), fencing_number(8, 1), 2**62])
+def test_engine_that_has_seen_a_higher_number(seen):
+    """Guards against an engine that refuses all orders after the clock of its host stepped back."""
+    converger = TargetConverger(FencingNumbers(1))
+    converger.want(5, ACTIVATE)
+    engine = FakeEngine(fencing=True)
+    engine.highest = seen
+    now = 0.0
+    while now < 20.0:
+        action = converger.next_action(now)
+        if action.kind is ActionKind.WAIT:
+            now = action.until
+        elif action.kind is ActionKind.READ:
+            converger.observe(engine.actual, engine.prepared, now)
+        else:
+            converger.on_action_result(action, engine.run(action), now)
+    assert engine.actual == 5
+    assert converger.eligible_version() == 5
+
+
+def test_unprepared_version_needs_a_grant_before_activation():
+    """Guards against all targets downloading from the weight store at once."""
+    converger = TargetConverger(FencingNumbers(1))
+    converger.want(5, PREPARE)
+    converger.observe(1, 0, 0.0)
+    assert converger.next_action(0.0).kind is ActionKind.WAIT
+    converger.grant(5)
+    assert converger.next_action(0.0) == Action(ActionKind.PREPARE, 5, fencing_number(5, 1))
+
+
+def test_activated_version_is_prepared_without_a_rollout_duty_after_a_while():
+    """Guards against targets that all download at activation, or never without a gateway."""
+    converger = TargetConverger(FencingNumbers(1))
+    converger.want(5, ACTIVATE)
+    converger.observe(1, 0, 0.0)
+    assert converger.next_action(0.0).kind is ActionKind.WAIT
+    converger.observe(1, 0, 6.0)
+    assert converger.next_action(6.0).kind is ActionKind.PREPARE
+
+
+def test_wanted_table_keeps_the_activated_version_beside_a_newer_one():
+    """Guards against a relay that forgets an activation when the next version is announced."""
+    table = WantedTable()
+    rows = [WantedVersion("m", 2, ACTIVATE), WantedVersion("m", 3), WantedVersion("m", 1, ACTIVATE)]
+    assert table.merge(rows) == rows[:2]
+    assert table.rows() == rows[:2]
+    other = WantedTable()
+    other.merge(table.missing_from(other.rows()))
+    assert other.rows() == table.rows()
+    assert table.missing_from(other.rows()) == []
--- a/turmericreach/config/state.py
+++ b/turmericreach/config/state.py
@@ -170,7 +170,8 @@
 
         It becomes ready by the platform's current revision, or a higher one of its peers. While
         the platform is down, it becomes ready by the highest generation of its peers, of which at
-        least one with a generation must have answered, after `PEER_WAIT_S` in which others can answer too.
+        least one with a generation must have answered, after `PEER_WAIT_S` in which others can
+        answer too.
         """
         if self.learned_from:
             return Readiness(True, self.learned_from, self.generation)
