--- a/turmericreach/cli/__init__.py
+++ b/turmericreach/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""The ``turmericreach`` command line."""
--- /dev/null
+++ b/turmericreach/cli/lots.py
@@ -0,0 +1,118 @@
+"""Commands for lots."""
+
+import sys
+import time
+from pathlib import Path
+from typing import Annotated
+
+import cyclopts
+import msgspec
+from cyclopts import Parameter
+
+from turmericreach.cli.options import Api, ExitCode, command
+from turmericreach.client import LotRun, TrainerClient
+from turmericreach.lots import Cursor, GroupSpec, LotSpec
+
+__all__ = ["app"]
+
+app = cyclopts.App(name="lot", help="Run and inspect lots.")
+
+
+@app.command(name="run")
+@command
+async def run_lot(
+    *,
+    prompts: Annotated[Path, Parameter(help="JSON lines with a `prompt` each.")],
+    out: Annotated[Path, Parameter(help="File for the samples, one JSON object a line.")],
+    name: str,
+    trainer: str,
+    service: str,
+    model: str,
+    samples_per_group: int = 8,
+    staleness_bound: int = 2,
+    max_tokens: int = 256,
+    kind: str = "short",
+    scoring_service: str = "",
+    scoring_path: str = "/score",
+    trainer_version: int = 1,
+    cursor: Annotated[Path | None, Parameter(help="File that keeps the cursor.")] = None,
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """Declare a lot and write its samples to a file until all have arrived.
+
+    With --cursor, a run that was interrupted goes on where it stopped.
+    """
+    spec = LotSpec(
+        name=name,
+        trainer=trainer,
+        service=service,
+        model=model,
+        groups=read_prompts(prompts),
+        samples_per_group=samples_per_group,
+        staleness_bound=staleness_bound,
+        max_tokens=max_tokens,
+        kind=kind,
+        scoring_service=scoring_service,
+        scoring_path=scoring_path,
+    )
+    saved = Cursor(spec.size)
+    if cursor is not None and cursor.exists():
+        saved = Cursor.decode(cursor.read_text().strip(), spec.size)
+    async with api.connect() as connection:
+        lot = await TrainerClient(connection).run(spec, trainer_version, saved)
+        with out.open("ab" if saved.count() else "wb") as stream:
+            await write_samples(lot, stream, cursor)
+        await lot.acknowledge()
+    return ExitCode.OK
+
+
+def read_prompts(path: Path) -> list[GroupSpec]:
+    """Return the groups of a prompts file; raises `ValueError` with the line at fault."""
+    groups = []
+    for number, line in enumerate(path.read_bytes().splitlines(), start=1):
+        if not line.strip():
+            continue
+        try:
+            groups.append(msgspec.json.decode(line, type=GroupSpec))
+        except msgspec.DecodeError as error:
+            raise ValueError(f"{path}, line {number}: {error}") from error
+    if not groups:
+        raise ValueError(f"{path}: no prompts")
+    return groups
+
+
+async def write_samples(lot: LotRun, stream, cursor: Path | None) -> None:
+    """Write samples as they arrive; the cursor is saved after the samples are on disk."""
+    started = time.monotonic()
+    while not lot.done:
+        samples = await lot.pull()
+        for sample in samples:
+            stream.write(msgspec.json.encode(sample) + b"\n")
+        stream.flush()
+        if cursor is not None and samples:
+            cursor.write_text(lot.cursor.encode())
+        if samples:
+            await lot.acknowledge()
+        show_progress(lot, time.monotonic() - started)
+    if sys.stderr.isatty():
+        print(file=sys.stderr)
+
+
+def show_progress(lot: LotRun, seconds: float) -> None:
+    """Print a progress line on a terminal."""
+    if not sys.stderr.isatty():
+        return
+    done = lot.cursor.count()
+    rate = done / seconds if seconds > 0 else 0.0
+    line = f"\r{lot.spec.name}: {done}/{lot.spec.size} samples, {rate:.1f}/s"
+    print(line, end="", file=sys.stderr, flush=True)
+
+
+@app.command
+@command
+async def cancel(name: str, *, api: Api = Api()) -> int:  # noqa: B008 - cyclopts reads the default
+    """End a lot."""
+    async with api.connect() as connection:
+        await TrainerClient(connection).cancel(name)
+    print(f"lot {name} cancelled")
+    return ExitCode.OK
--- /dev/null
+++ b/turmericreach/cli/options.py
@@ -0,0 +1,126 @@
+"""Options that several commands share, and how errors become exit codes."""
+
+import asyncio
+import enum
+import functools
+import sys
+from typing import Annotated
+
+import attrs
+from cyclopts import Parameter
+
+from turmericreach.client import ApiConnection, ApiError
+from turmericreach.manifest import GenerationConflict, ManifestError
+from turmericreach.objectstore import HttpObjectStore, ObjectStoreError, ResultUnknown
+from turmericreach.verdicts import RequestError
+
+__all__ = ["Api", "ExitCode", "Output", "Platform", "command"]
+
+DEFAULT_GATEWAY = "http://127.0.0.1:7480"
+PLATFORM_TIMEOUT_S = 5.0
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the command line."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    UNKNOWN_RESULT = 4
+    UNAVAILABLE = 5
+    NOT_CONFIRMED = 6
+
+
+class Output(enum.StrEnum):
+    """Form of a command's output."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+@Parameter(name="*")
+@attrs.frozen
+class Api:
+    """How to reach the gateways.
+
+    Attributes
+    ----------
+    gateway : list of str
+        Address of a gateway; give it several times for failover.
+    token : str
+        Bearer token.
+    """
+
+    gateway: Annotated[
+        list[str] | None, Parameter(name="--gateway", env_var="TURMERICREACH_GATEWAY")
+    ] = None
+    token: Annotated[str, Parameter(name="--token", env_var="TURMERICREACH_TOKEN")] = ""
+
+    def connect(self) -> ApiConnection:
+        """Return a connection to be used as a context manager."""
+        return ApiConnection(self.gateway or [DEFAULT_GATEWAY], self.token)
+
+
+@Parameter(name="*")
+@attrs.frozen
+class Platform:
+    """How to reach the platform's object API.
+
+    Attributes
+    ----------
+    platform : str
+        Address of the object API.
+    platform_token : str
+        Bearer token for it.
+    """
+
+    platform: Annotated[str, Parameter(name="--platform", env_var="TURMERICREACH_PLATFORM")] = ""
+    platform_token: Annotated[
+        str, Parameter(name="--platform-token", env_var="TURMERICREACH_PLATFORM_TOKEN")
+    ] = ""
+
+    def open(self) -> HttpObjectStore:
+        """Return a store; raises `ValueError` without an address."""
+        if not self.platform:
+            raise ValueError("--platform (or TURMERICREACH_PLATFORM) is needed")
+        return HttpObjectStore(self.platform, self.platform_token, PLATFORM_TIMEOUT_S)
+
+
+def command(function):
+    """Run an async command and turn its errors into one line and an exit code."""
+
+    @functools.wraps(function)
+    def wrapper(*args, **kwargs) -> int:
+        try:
+            code = asyncio.run(function(*args, **kwargs))
+        except KeyboardInterrupt:
+            return report("interrupted", ExitCode.FAILED)
+        except GenerationConflict as error:
+            return report(str(error), ExitCode.CONFLICT)
+        except ManifestError as error:
+            return report(str(error), ExitCode.BAD_INPUT)
+        except ResultUnknown as error:
+            return report(f"the result is unknown: {error}", ExitCode.UNKNOWN_RESULT)
+        except ObjectStoreError as error:
+            return report(f"the platform does not answer: {error}", ExitCode.UNAVAILABLE)
+        except ApiError as error:
+            code = ExitCode.FAILED if error.status else ExitCode.UNAVAILABLE
+            return report(describe(error), code)
+        except (ValueError, RequestError, OSError) as error:
+            return report(str(error), ExitCode.BAD_INPUT)
+        return ExitCode.OK if code is None else code
+
+    return wrapper
+
+
+def describe(error: ApiError) -> str:
+    """Return the line for an error of a gateway."""
+    code = f" [{error.code}, {error.verdict}]" if error.code else ""
+    return f"{error}{code}"
+
+
+def report(message: str, code: ExitCode) -> int:
+    """Print an error and return the exit code."""
+    print(f"turmericreach: {message}", file=sys.stderr)
+    return code
--- a/turmericreach/daemon/convergence.py
+++ b/turmericreach/daemon/convergence.py
@@ -119,9 +119,7 @@
         if self.converger.swapping:
             seconds = now - self.swap_started_at
             if answer.version >= self.converger.active:
-                log_event(
-                    events.SWAP_DONE, target=name, version=answer.version, seconds=seconds
-                )
+                log_event(events.SWAP_DONE, target=name, version=answer.version, seconds=seconds)
                 return
             log_event(
                 events.MISMATCH_FOUND,
@@ -167,17 +165,13 @@
         if result.kind is ResultKind.BUSY:
             log_event(events.WEIGHT_STORE_LIMITED, seconds=result.retry_after_s)
         elif result.kind is not ResultKind.OK:
-            log_event(
-                events.SWAP_FAILED, target=name, version=action.version, error=result.error
-            )
+            log_event(events.SWAP_FAILED, target=name, version=action.version, error=result.error)
         self.converger.on_action_result(action, result, loop.time())
 
 
 def failed_result(error: EngineError) -> ActionResult:
     """Return the result of an order that was not carried out or whose answer is missing."""
     if error.code == ErrorCode.OVERLOADED:
-        return ActionResult(
-            ResultKind.BUSY, retry_after_s=error.retry_after_s, error=str(error)
-        )
+        return ActionResult(ResultKind.BUSY, retry_after_s=error.retry_after_s, error=str(error))
     kind = ResultKind.LOST if error.verdict is Verdict.MAY_HAVE_RUN else ResultKind.FAILED
     return ActionResult(kind, error=str(error))
--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -93,9 +93,8 @@
             try:
                 await loop()
             except Exception as error:  # noqa: BLE001 - a fault of one loop must not end the daemon
-                log_event(
-                    events.INTERNAL_ERROR, error=f"{type(error).__name__}: {error}", where=loop.__name__
-                )
+                text = f"{type(error).__name__}: {error}"
+                log_event(events.INTERNAL_ERROR, error=text, where=loop.__name__)
                 await asyncio.sleep(WATCH_PAUSE_S)
 
     def is_relay(self) -> bool:
@@ -111,9 +110,9 @@
             self.report_now.clear()
             now = self.node.now()
             relays = self.node.members.relays(self.node.settings.data_centre, now)
-            addresses = [(item.name, item.address) for item in relays if item.name != self.node.name]
+            addresses = [item.address for item in relays if item.name != self.node.name]
             addresses += self.bootstrap_addresses(now)
-            await asyncio.gather(*(self.report_to(address) for _, address in addresses))
+            await asyncio.gather(*(self.report_to(address) for address in addresses))
             pause_s = REPORT_INTERVAL_S * (1 + self.rng.uniform(-JITTER, JITTER))
             try:
                 async with asyncio.timeout(pause_s):
@@ -121,7 +120,7 @@
             except TimeoutError:
                 continue
 
-    def bootstrap_addresses(self, now: float) -> list[tuple[str, str]]:
+    def bootstrap_addresses(self, now: float) -> list[str]:
         """Return addresses of possible members that are not known to be live."""
         if now - self.bootstrap_at < BOOTSTRAP_INTERVAL_S and len(self.node.members.records) > 1:
             return []
@@ -132,14 +131,14 @@
         for address, data_centre in self.known_addresses():
             if address in live or address == own.address:
                 continue
-            (near if data_centre in ("", own.data_centre) else far).append(("", address))
+            (near if data_centre in ("", own.data_centre) else far).append(address)
         chosen = self.rng.sample(near, min(2, len(near)))
         if self.is_relay():
             chosen += self.rng.sample(far, min(1, len(far)))
         return chosen
 
     def known_addresses(self) -> list[tuple[str, str]]:
-        """Return (address, data centre) of every daemon that settings, platform or manifest name."""
+        """Return address and data centre of the daemons in settings, platform and manifest."""
         found = [(seed, "") for seed in self.node.settings.seeds]
         for host in self.hosts:
             if ":" in host.address:
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -62,9 +62,7 @@
         self.audit = AuditLog(node.store, node.settings.data_centre, node.name)
         self.tokens = TokenTable(node.settings.security.tokens)
         self.drains = DrainWriter(node)
-        self.ordinary = OrdinaryRequests(
-            self.runner, self.node.services.get, node.settings.limits
-        )
+        self.ordinary = OrdinaryRequests(self.runner, self.node.services.get, node.settings.limits)
         self.rpc = PeerServer(
             self, node.settings.listen.ip, node.settings.listen.rpc_port, node.server_ssl
         )
--- a/turmericreach/daemon/lot_runner.py
+++ b/turmericreach/daemon/lot_runner.py
@@ -118,9 +118,7 @@
 
     def step(self) -> None:
         """Start the rollouts for which there is room."""
-        view: EngineView = self.context.engine_view(
-            self.spec.service, len(self.rollouts)
-        )
+        view: EngineView = self.context.engine_view(self.spec.service, len(self.rollouts))
         slots = sum(engine.free_slots for engine in view.engines)
         if slots <= 0:
             return
@@ -153,9 +151,7 @@
 
     def rollout_request(self, task: SampleTask) -> CallerRequest:
         """Return the request of a rollout."""
-        body = CompletionBody(
-            task.prompt, self.spec.max_tokens, self.spec.temperature, task.seed
-        )
+        body = CompletionBody(task.prompt, self.spec.max_tokens, self.spec.temperature, task.seed)
         return CallerRequest(
             request_id=f"{self.spec.sample_id(task.ordinal)}#{task.task_id}",
             service=self.spec.service,
@@ -260,9 +256,7 @@
         while True:
             self.last_pull = self.now()
             self.ready.clear()
-            result = self.coordinator.pull(
-                cursor, trainer_version, max_samples, self.now(), whole
-            )
+            result = self.coordinator.pull(cursor, trainer_version, max_samples, self.now(), whole)
             self.changed.set()
             left_s = ends - self.now()
             if result.samples or result.done or left_s <= 0:
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -182,9 +182,7 @@
 
     def check_open_lots(self, spec: LotSpec) -> None:
         """Refuse a lot beyond the trainer's limit, as far as this gateway knows."""
-        trainer = next(
-            item for item in self.node.manifest.trainers if item.name == spec.trainer
-        )
+        trainer = next(item for item in self.node.manifest.trainers if item.name == spec.trainer)
         held = sum(
             runner.spec.trainer == spec.trainer and not runner.is_complete()
             for runner in self.runners.values()
--- a/turmericreach/daemon/lot_store.py
+++ b/turmericreach/daemon/lot_store.py
@@ -108,9 +108,7 @@
             await self.store.put(CURSOR_KIND, lot, cursor.encode().encode(), if_absent=True)
             return
         merged = cursor.union(Cursor.decode(current.value.decode(), cursor.size))
-        await self.store.put(
-            CURSOR_KIND, lot, merged.encode().encode(), if_version=current.version
-        )
+        await self.store.put(CURSOR_KIND, lot, merged.encode().encode(), if_version=current.version)
 
     async def remove(self, lot: str) -> None:
         """Remove a cancelled lot; the head goes first, so that it cannot be opened again.
@@ -129,4 +127,3 @@
         for name in chunk_names(head.value):
             await self.store.delete(LOT_KIND, name)
         await self.store.delete(CURSOR_KIND, lot)
-
--- a/turmericreach/daemon/main.py
+++ b/turmericreach/daemon/main.py
@@ -91,7 +91,9 @@
 
 async def log_ready(daemon, node: Node) -> None:
     """Log once when the daemon is ready."""
-    while not daemon.ready():
+    while True:
+        if daemon.ready():
+            break
         await asyncio.sleep(READY_POLL_S)
     log_event(
         events.DAEMON_READY,
--- a/turmericreach/daemon/rollout.py
+++ b/turmericreach/daemon/rollout.py
@@ -148,8 +148,6 @@
     try:
         await write_settled(store, WEIGHTS_KIND, row.model, make_value, change_id_of)
     except (Conflict, ObjectStoreError) as error:
-        log_event(
-            events.WRITE_UNKNOWN, kind=WEIGHTS_KIND, name=row.model, error=str(error)
-        )
+        log_event(events.WRITE_UNKNOWN, kind=WEIGHTS_KIND, name=row.model, error=str(error))
         return False
     return True
--- a/turmericreach/manifest/__init__.py
+++ b/turmericreach/manifest/__init__.py
@@ -1,5 +1,6 @@
 """The manifest: schema, checks, JSON Schema, differences, encoding and revisions."""
 
+from turmericreach.manifest.apply import apply_manifest, read_revision
 from turmericreach.manifest.diff import Change, diff_manifests
 from turmericreach.manifest.encoding import (
     decode_manifest,
@@ -8,6 +9,7 @@
     encode_revision,
 )
 from turmericreach.manifest.errors import GenerationConflict, ManifestError
+from turmericreach.manifest.history import read_history, record_revision
 from turmericreach.manifest.json_schema import manifest_schema
 from turmericreach.manifest.loader import load_manifest
 from turmericreach.manifest.revision import (
@@ -44,6 +46,7 @@
     "SiteSpec",
     "TargetSpec",
     "TrainerSpec",
+    "apply_manifest",
     "decode_manifest",
     "decode_revision",
     "diff_manifests",
@@ -52,4 +55,7 @@
     "load_manifest",
     "manifest_schema",
     "plan_apply",
+    "read_history",
+    "read_revision",
+    "record_revision",
 ]
--- a/turmericreach/membership/records.py
+++ b/turmericreach/membership/records.py
@@ -39,8 +39,8 @@
     ----------
     state : str
         ``up`` or ``down`` as the agent sees the back end.
-    version, wanted : int
-        Real and wanted weight version.
+    version, wanted, prepared : int
+        Real and wanted weight version, and the highest version that the target holds ready.
     running, waiting, slots : int
         Requests in flight, requests in the queue and slots.
     drained : bool
@@ -56,6 +56,7 @@
     waiting: int = 0
     slots: int = 0
     drained: bool = False
+    prepared: int = 0
 
 
 @attrs.frozen
