Let the grants of a rollout duty expire at the agent

Cause: an agent that resumes after a pause used a grant that the duty had given to another target meanwhile. Ruled out: the duty's own time of expiry, since clocks of two hosts differ. Change: TargetConverger.grant takes a time of the own clock. Conclusion: an expired grant starts no download (test).

--- a/tests/weights/test_converger.py
+++ b/tests/weights/test_converger.py
@@ -197,7 +197,9 @@
     converger.want(5, PREPARE)
     converger.observe(1, 0, 0.0)
     assert converger.next_action(0.0).kind is ActionKind.WAIT
-    converger.grant(5)
+    converger.grant(5, until=-1.0)
+    assert converger.next_action(0.0).kind is ActionKind.WAIT
+    converger.grant(5, until=1.0)
     assert converger.next_action(0.0) == Action(ActionKind.PREPARE, 5, fencing_number(5, 1))
 
 
--- a/turmericreach/weights/converger.py
+++ b/turmericreach/weights/converger.py
@@ -95,6 +95,7 @@
         self.preparing = 0
         self.active = 0
         self.granted = 0
+        self.granted_until = 0.0
         self.actual: int | None = None
         self.prepared = 0
         self.ahead = 0
@@ -119,9 +120,19 @@
             self.active = version
             self.not_before = 0.0
 
-    def grant(self, version: int):
-        """Allow the download of a version before its activation."""
-        self.granted = max(self.granted, version)
+    def grant(self, version: int, until: float = float("inf")):
+        """Allow the download of a version until a time of the own loop's clock.
+
+        Clocks of two hosts differ, so the message carries the seconds that a grant still has.
+        """
+        if version < self.granted:
+            return
+        self.granted = version
+        self.granted_until = until
+
+    def is_granted(self, version, now):
+        """Tell whether a download of a version is allowed now."""
+        return self.granted >= version and now <= self.granted_until
 
     def observe(self, actual: int, prepared: int, now: float):
         """Take over what the engine says that it serves and holds."""
@@ -196,11 +207,13 @@
         if self.actual < self.active:
             if self.prepared == self.active:
                 return self.order(ActionKind.ACTIVATE, self.active)
-            if self.granted < self.active and now - self.needed_since < UNGRANTED_S:
+            if not self.is_granted(self.active, now) and now - self.needed_since < UNGRANTED_S:
                 return None
             return self.order(ActionKind.PREPARE, self.active)
         wanted = self.preparing
-        if wanted > max(self.active, self.actual, self.prepared) and self.granted >= wanted:
+        if wanted <= max(self.active, self.actual, self.prepared):
+            return None
+        if self.is_granted(wanted, now):
             return self.order(ActionKind.PREPARE, wanted)
         return None
 
