Ignore latencies while a reduced rollout limit takes effect

Cause: rollouts beyond a reduced limit go on running for a while, so one burst of slow requests halved the limit twice.

Change: latencies within hold_s after a reduction do not count.

--- a/turmericreach/limits/window.py
+++ b/turmericreach/limits/window.py
@@ -25,7 +25,7 @@
     window_s : float
         Seconds of ordinary requests that count.
     hold_s : float
-        Seconds between two reductions, in which the first one takes effect.
+        Seconds after a reduction whose latencies do not count, because it has yet to take effect.
     recover_s : float
         Seconds after a reduction before the limit grows.
     increase_s : float
@@ -82,7 +82,9 @@
 
     def on_ordinary(self, latency_s, rollouts, now):
         """Note an answered ordinary request and the rollouts that ran beside it."""
-        self.recent.append((now, latency_s, rollouts))
+        # Until the hold is over, rollouts beyond the new limit still run and slow requests down.
+        if now >= self.reduced_at + self.steering.hold_s:
+            self.recent.append((now, latency_s, rollouts))
         if rollouts == 0:
             self.idle.append((now, latency_s))
         if rollouts <= self.floor:
@@ -105,8 +107,7 @@
             self.recent.popleft()
         baseline_s = self.baseline_s(now)
         if self.exceeds(steering.slow_ratio, baseline_s):
-            if now - self.reduced_at >= steering.hold_s:
-                self.reduce(now)
+            self.reduce(now)
             self.grown_at = now
             return self.limit
         if now - self.reduced_at < steering.recover_s:
