Register HTTP handlers as functions and pass grants with their remaining time

Cause: blacksheep marks handlers with attributes, which bound methods refuse, so gateways ended at start. Ruled out: a fault of the settings; the daemon listened before it failed. Change: handlers are wrapped; grants carry seconds, since clocks differ.

--- a/turmericreach/cli/lots.py
+++ b/turmericreach/cli/lots.py
@@ -90,7 +90,7 @@
             stream.write(msgspec.json.encode(sample) + b"\n")
         stream.flush()
         if cursor is not None and samples:
-            cursor.write_text(lot.cursor.encode())
+            save_cursor(cursor, lot.cursor)
         if samples:
             await lot.acknowledge()
         show_progress(lot, time.monotonic() - started)
@@ -98,6 +98,13 @@
         print(file=sys.stderr)
 
 
+def save_cursor(path: Path, cursor: Cursor) -> None:
+    """Replace the saved cursor in one step, so that a crash leaves a whole one."""
+    temporary = path.with_suffix(f"{path.suffix}.new")
+    temporary.write_text(cursor.encode())
+    temporary.replace(path)
+
+
 def show_progress(lot: LotRun, seconds: float) -> None:
     """Print a progress line on a terminal."""
     if not sys.stderr.isatty():
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -249,7 +249,7 @@
             grant = msgspec.json.decode(body, type=GrantMessage)
             loop = self.loops.get(grant.target)
             if loop is not None:
-                loop.grant(grant.version)
+                loop.grant(grant.version, grant.seconds)
             return b""
         if kind == DRAIN:
             self.set_drain(msgspec.json.decode(body, type=DrainMessage))
--- a/turmericreach/daemon/convergence.py
+++ b/turmericreach/daemon/convergence.py
@@ -58,9 +58,9 @@
         """Decide again at once, because a wanted version or a grant is new."""
         self.woken.set()
 
-    def grant(self, version: int) -> None:
-        """Allow the download of a version before its activation."""
-        self.converger.grant(version)
+    def grant(self, version: int, seconds: float) -> None:
+        """Allow the download of a version before its activation, for some seconds."""
+        self.converger.grant(version, asyncio.get_running_loop().time() + seconds)
         self.wake()
 
     def take_wanted(self) -> None:
--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -16,13 +16,17 @@
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 JSON = b"application/json"
+SMALL_BODY_BYTES = 4096
 
 
 def build_app(gateway) -> Application:
     """Return the ASGI application of a `GatewayDaemon`."""
     app = Application(router=Router())
     routes = GatewayRoutes(gateway)
-    add = app.router.add
+
+    def add(method: str, path: str, handler) -> None:
+        app.router.add(method, path, as_function(handler))
+
     add("GET", "/healthz", routes.health)
     add("POST", "/v1/lots", routes.declare_lot)
     add("GET", "/v1/lots", routes.list_lots)
@@ -44,6 +48,20 @@
     return app
 
 
+def as_function(method):
+    """Return a function that calls a bound method; blacksheep marks handlers with attributes."""
+
+    async def handler(request: Request) -> Response:
+        return await method(request)
+
+    return handler
+
+
+def route_value(request: Request, name: str) -> str:
+    """Return a part of the path."""
+    return request.route_values[name]
+
+
 async def handle_request_error(app, request: Request, error: RequestError) -> Response:
     """Answer an error with a stable code."""
     return error_response(error, getattr(error, "request_id", ""))
@@ -77,6 +95,7 @@
     def __init__(self, gateway):
         self.gateway = gateway
         self.limits = gateway.node.settings.limits
+        self.body_timeout_s = self.limits.slow_sender_timeout_s
 
     def authorize(self, request: Request, role: TokenRole) -> str:
         """Return who calls; raises `RequestError` without the role."""
@@ -94,7 +113,7 @@
 
     async def body(self, request: Request, max_bytes: int) -> bytes:
         """Read a body within the limits."""
-        return await read_body(request, max_bytes, self.limits.slow_sender_timeout_s)
+        return await read_body(request, max_bytes, self.body_timeout_s)
 
     async def health(self, request: Request) -> Response:
         """Tell the balancer whether to send requests here."""
@@ -104,12 +123,12 @@
             return json_response({"state": "starting"}, 503)
         return json_response({"state": "ready"})
 
-    async def lot_call(self, request, role, operation, lot, max_bytes, wait_s=0.0) -> Response:
-        """Pass a lot call on to its coordinator."""
-        self.authorize(request, role)
+    async def lot_call(self, request, operation, max_bytes) -> Response:
+        """Pass a trainer's lot call on to its coordinator."""
+        self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
         body = await self.body(request, max_bytes)
-        return await self.run_lot_call(LotCall(operation, lot, body, wait_s))
+        return await self.run_lot_call(LotCall(operation, route_value(request, "lot"), body))
 
     async def run_lot_call(self, call: LotCall) -> Response:
         """Run a lot call and return its JSON answer."""
@@ -124,7 +143,7 @@
         name = decode_body(body, LotName).name
         return await self.run_lot_call(LotCall(LotOperation.DECLARE, name, body))
 
-    async def pull(self, request: Request, lot: str) -> Response:
+    async def pull(self, request: Request) -> Response:
         """Hand finished samples to a trainer."""
         self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
@@ -134,34 +153,33 @@
             raise RequestError(
                 ErrorCode.BAD_REQUEST, f"wait_s must be between 0 and {MAX_PULL_WAIT_S:g}"
             )
+        lot = route_value(request, "lot")
         call = LotCall(LotOperation.PULL, lot, body, wanted.wait_s)
         return await self.run_lot_call(call)
 
-    async def acknowledge(self, request: Request, lot: str) -> Response:
+    async def acknowledge(self, request: Request) -> Response:
         """Take over an acknowledged cursor."""
-        return await self.lot_call(
-            request, TokenRole.TRAINER, LotOperation.ACK, lot, self.limits.max_body_bytes
-        )
+        return await self.lot_call(request, LotOperation.ACK, self.limits.max_body_bytes)
 
-    async def cancel_lot(self, request: Request, lot: str) -> Response:
+    async def cancel_lot(self, request: Request) -> Response:
         """End a lot."""
-        return await self.lot_call(request, TokenRole.TRAINER, LotOperation.CANCEL, lot, 1024)
+        return await self.lot_call(request, LotOperation.CANCEL, SMALL_BODY_BYTES)
 
-    async def lot_status(self, request: Request, lot: str) -> Response:
+    async def lot_status(self, request: Request) -> Response:
         """Return the state of a lot."""
-        return await self.lot_call(request, TokenRole.TRAINER, LotOperation.STATUS, lot, 1024)
+        return await self.lot_call(request, LotOperation.STATUS, SMALL_BODY_BYTES)
 
     async def list_lots(self, request: Request) -> Response:
         """Return the lots of all live gateways."""
         self.authorize(request, TokenRole.OPERATOR)
         return json_response(await self.gateway.list_lots())
 
-    async def announce(self, request: Request, model: str) -> Response:
+    async def announce(self, request: Request) -> Response:
         """Take over a weight version that a trainer announces."""
         who = self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
-        body = await read_json(request, AnnounceRequest, 4096, self.limits.slow_sender_timeout_s)
-        return json_response(await self.gateway.announce(model, body, who))
+        body = await read_json(request, AnnounceRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        return json_response(await self.gateway.announce(route_value(request, "model"), body, who))
 
     async def status(self, request: Request) -> Response:
         """Return what this gateway knows of the deployment."""
@@ -173,12 +191,14 @@
         self.authorize(request, TokenRole.OPERATOR)
         return json_response(self.gateway.target_rows())
 
-    async def drain(self, request: Request, target: str) -> Response:
+    async def drain(self, request: Request) -> Response:
         """Start or lift the drain of a target."""
         who = self.authorize(request, TokenRole.OPERATOR)
         self.require_ready()
-        body = await read_json(request, DrainRequest, 4096, self.limits.slow_sender_timeout_s)
-        return json_response(await self.gateway.drain(target, body.drain, who))
+        body = await read_json(request, DrainRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        return json_response(
+            await self.gateway.drain(route_value(request, "target"), body.drain, who)
+        )
 
     async def explain(self, request: Request) -> Response:
         """Return the decisions about a request or a sample."""
@@ -186,10 +206,11 @@
         path = request.url.path.decode("ascii", "replace")
         return json_response(await self.gateway.explain(path.removeprefix("/v1/explain/")))
 
-    async def ordinary(self, request: Request, service: str) -> Response:
+    async def ordinary(self, request: Request) -> Response:
         """Run an ordinary request."""
         self.authorize(request, TokenRole.CALLER)
         self.require_ready()
+        service = route_value(request, "service")
         return await self.gateway.ordinary.handle(request, service, not self.gateway.tokens.entries)
 
 
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -78,7 +78,7 @@
         self.spec = spec
         self.service = service
         self.calendar = SiteCalendar(manifest.sites)
-        self.admission.configure(service, manifest.policy, shares)
+        self.wake(self.admission.configure(service, manifest.policy, shares, now))
         self.window.resize(spec.slots)
         self.wake(self.admission.resize(spec.slots, now))
 
--- a/turmericreach/daemon/rollout.py
+++ b/turmericreach/daemon/rollout.py
@@ -22,10 +22,11 @@
 
 @attrs.frozen
 class GrantMessage:
-    """Allows a target to download a version."""
+    """Allows a target to download a version for some seconds, since clocks differ."""
 
     target: str
     version: int
+    seconds: float
 
 
 class WeightRollouts:
@@ -102,7 +103,8 @@
             return
         try:
             client = await self.node.peers.get(holder.address)
-            body = msgspec.json.encode(GrantMessage(grant.target, grant.version))
+            left_s = grant.expires_at - self.node.now()
+            body = msgspec.json.encode(GrantMessage(grant.target, grant.version, left_s))
             await client.control(GRANT, body, CALL_TIMEOUT_S)
         except PeerError:
             self.node.peers.drop(holder.address)
