Never deny a write that may still take effect

Cause: a read that was refused in another way than by an outage, or a value function that raised, ended write_settled with an error that says that the write had no effect, although an earlier write of the call was still pending. Change: while a write is pending, every such end is ResultUnknown; the property test draws refused calls as well.

--- a/tests/objectstore/test_settle.py
+++ b/tests/objectstore/test_settle.py
@@ -12,9 +12,9 @@
 from tests.builders.objectstore import MemoryObjectStore
 from turmericreach.manifest import Revision, load_manifest
 from turmericreach.manifest.history import HISTORY_KIND, read_history, record_revision
-from turmericreach.objectstore import Conflict, ResultUnknown, Unavailable, write_settled
+from turmericreach.objectstore import ObjectStoreError, ResultUnknown, write_settled
 
-STEPS = ["ok", "down", "limited", "lost_answer", "lost_request", "late", "land", "rival"]
+STEPS = ["ok", "down", "limited", "lost_answer", "lost_request", "late", "land", "rival", "refused"]
 
 
 class ScriptedStore(MemoryObjectStore):
@@ -34,6 +34,8 @@
         self.faults.late_writes = int(step == "late")
         if step == "land":
             self.land()
+        if step == "refused":
+            raise ObjectStoreError("403")
         if step == "rival":
             self.rivals += 1
             value = append(self.objects.get(("k", "n")), f"rival-{self.rivals}")
@@ -56,10 +58,10 @@
         settled = await write_settled(
             store, "k", "n", lambda c: append(c, change_id), lambda v: ids_of(v)[0], lineage_of
         )
-    except (Conflict, Unavailable):
-        return "no effect"
     except ResultUnknown:
         return "unknown"
+    except ObjectStoreError:
+        return "no effect"
     assert settled.written
     return "written"
 
--- a/turmericreach/objectstore/settle.py
+++ b/turmericreach/objectstore/settle.py
@@ -81,54 +81,94 @@
         If the write may have taken effect.
     Conflict
         If others won every time; the write had no effect.
-    Unavailable
-        If the object API failed; the write had no effect.
+    ObjectStoreError
+        If the object API failed in another way; the write had no effect.
     """
-    pending: PendingWrite | None = None
-    last_error: ObjectStoreError = Conflict(f"{kind}/{name}: others won every time")
-    for number in range(max_tries):
-        if number:
-            await asyncio.sleep(delay_s(number, last_error))
-        try:
-            current = await store.get(kind, name)
-        except Unavailable as error:
-            last_error = error
-            continue
-        if pending is not None:
-            if settle(pending, current, change_id_of, lineage_of):
+    write = SettledWrite(store, kind, name, make_value, change_id_of, lineage_of)
+    try:
+        return await write.run(max_tries)
+    except ResultUnknown:
+        raise
+    except Exception as error:
+        # Whatever ends the call, a write that may still take effect must not be denied.
+        if write.pending is not None:
+            raise ResultUnknown(f"{kind}/{name}: not settled, last error: {error}") from error
+        raise
+
+
+class SettledWrite:
+    """State of one call of `write_settled`.
+
+    Attributes
+    ----------
+    pending : PendingWrite or None
+        The write whose answer was lost, until it is settled.
+    """
+
+    def __init__(self, store, kind, name, make_value, change_id_of, lineage_of):
+        self.store = store
+        self.kind = kind
+        self.name = name
+        self.make_value = make_value
+        self.change_id_of = change_id_of
+        self.lineage_of = lineage_of
+        self.pending: PendingWrite | None = None
+
+    async def run(self, max_tries: int) -> Settled:
+        """Try until the write is settled or the tries are used up."""
+        last_error: ObjectStoreError = Conflict(f"{self.kind}/{self.name}: others won every time")
+        for number in range(max_tries):
+            if number:
+                await asyncio.sleep(delay_s(number, last_error))
+            try:
+                return await self.try_once()
+            except (Conflict, Unavailable, AnswerLost) as error:
+                last_error = error
+        if self.pending is not None:
+            current = await self.store.get(self.kind, self.name)
+            if self.settles(current):
                 return Settled(current, True)
-            if version_of(current) != pending.base_version:
-                pending = None
-        value = make_value(current)
+            if self.pending is None:
+                raise Conflict(f"{self.kind}/{self.name}: others won every time")
+        raise last_error
+
+    async def try_once(self) -> Settled:
+        """Read, settle what is pending, and write."""
+        current = await self.store.get(self.kind, self.name)
+        if self.settles(current):
+            return Settled(current, True)
+        value = self.make_value(current)
+        if value is None and self.pending is not None:
+            raise ResultUnknown("nothing more to write, but an earlier write may take effect")
         if value is None:
             return Settled(current, False)
-        change_id = change_id_of(value)
-        if current is not None and change_id_of(current.value) == change_id:
+        change_id = self.change_id_of(value)
+        base_id = "" if current is None else self.change_id_of(current.value)
+        if current is not None and base_id == change_id:
             return Settled(current, True)
         try:
-            return Settled(await put(store, kind, name, value, current), True)
+            stored = await put(self.store, self.kind, self.name, value, current)
         except ResultUnknown as error:
-            base_id = "" if current is None else change_id_of(current.value)
-            pending = PendingWrite(change_id, base_id, version_of(current))
-            last_error = error
-        except (Conflict, Unavailable) as error:
-            last_error = error
-    if pending is not None:
-        return await read_back(store, kind, name, pending, change_id_of, lineage_of)
-    raise last_error
-
-
-async def read_back(store, kind, name, pending, change_id_of, lineage_of) -> Settled:
-    """Settle the last write, whose answer was lost."""
-    try:
-        current = await store.get(kind, name)
-    except Unavailable as error:
-        raise ResultUnknown(f"{kind}/{name}: not settled, last error: {error}") from None
-    if settle(pending, current, change_id_of, lineage_of):
-        return Settled(current, True)
-    if version_of(current) != pending.base_version:
-        raise Conflict(f"{kind}/{name}: others won every time")
-    raise ResultUnknown(f"{kind}/{name}: the answer of the last write was lost")
+            self.pending = PendingWrite(change_id, base_id, version_of(current))
+            raise AnswerLost(str(error)) from None
+        return Settled(stored, True)
+
+    def settles(self, current: StoredObject | None) -> bool:
+        """Return whether the object shows that the pending write took effect.
+
+        A write that cannot take effect any more is no longer pending.
+        """
+        if self.pending is None:
+            return False
+        if settle(self.pending, current, self.change_id_of, self.lineage_of):
+            return True
+        if version_of(current) != self.pending.base_version:
+            self.pending = None
+        return False
+
+
+class AnswerLost(ObjectStoreError):
+    """The answer of a write was lost, and the write is not settled yet."""
 
 
 def settle(pending: PendingWrite, current: StoredObject | None, change_id_of, lineage_of) -> bool:
