Drop idle connections to the object API before the server does

Cause: the library checks the idle time of pooled connections for HTTP/2 only. A trial against a server that closes idle connections ended the first write after a pause as ResultUnknown (ConnectionResetError). Ruled out: the idle_timeout option of ClientSession (without effect over HTTP/1.1, seen in the new test); retries inside the client (they repeat writes); a connection for each call (a TLS handshake each). Change: a pool that hands out only connections that are fresh and not closed.

--- a/tests/objectstore/test_contract.py
+++ b/tests/objectstore/test_contract.py
@@ -147,6 +147,19 @@
         await client.close()
 
 
+@pytest.mark.parametrize("idle_timeout_s", [0.1, 300.0])
+async def test_idle_connection_is_not_reused(monkeypatch, idle_timeout_s):
+    """Guards against a write on a connection that the server closed while it was idle."""
+    monkeypatch.setattr("turmericreach.objectstore.pool.IDLE_TIMEOUT_S", idle_timeout_s)
+    async with ObjectServer(MemoryObjectStore()) as server:
+        server.server.config.timeout_keep_alive = 0.3
+        client = HttpObjectStore(server.url, "", 1.0)
+        await client.put("k", "n", b"1")
+        await asyncio.sleep(0.6)
+        await client.put("k", "n", b"2")
+        await client.close()
+
+
 async def test_refused_connection_has_no_effect():
     """Guards against a platform that is down reported as unknown."""
     async with ObjectServer(MemoryObjectStore()) as server:
--- a/turmericreach/objectstore/http.py
+++ b/turmericreach/objectstore/http.py
@@ -19,6 +19,7 @@
     ValueTooLarge,
     WatchExpired,
 )
+from turmericreach.objectstore.pool import FreshPools
 from turmericreach.objectstore.protocol import (
     MAX_VALUE_BYTES,
     HostRecord,
@@ -61,12 +62,14 @@
         self.budget = budget
         self.ssl = ssl
         self.session: ClientSession | None = None
+        self.pools = FreshPools()
 
     async def close(self) -> None:
         """Close the connections."""
         if self.session is not None:
             session, self.session = self.session, None
             await session.close()
+            await self.pools.dispose()
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
@@ -181,7 +184,7 @@
                 ssl=self.ssl,
                 follow_redirects=False,
                 cookie_jar=False,
-                http2=False,
+                pools=self.pools,
                 max_connection_retries=0,
                 connection_timeout=self.timeout_s / 2,
                 request_timeout=SESSION_TIMEOUT_S,
