Let the delivery state machine reach the trainer more often

Cause: on a scratch copy the state machine alone stayed green without the label checks, because crashes and moves ended most samples before a pull. Its contradiction case also was none.

Change: a rule that runs rollouts to their score; crashes and moves at a quarter of the chances. The contradiction case reports versions that the agent cannot have read.

--- a/tests/lots/test_machine.py
+++ b/tests/lots/test_machine.py
@@ -12,6 +12,8 @@
 
 SPEC = make_spec(groups=2, samples_per_group=2, staleness_bound=1, deadline_s=50.0)
 SIDES = st.integers(0, 1)
+# Crashes and moves at every fourth chance leave room for samples to reach the trainer.
+RARELY = st.integers(0, 3)
 DRAIN_ROUNDS = 400
 
 
@@ -48,22 +50,30 @@
             assert key not in self.asked, "a score was requested again that may have run"
             self.asked.add(key)
 
-    @rule(side=SIDES)
+    @rule(side=SIDES, chance=RARELY)
+    def crash_sometimes(self, side, chance):
+        if chance == 0:
+            self.crash(side)
+
     def crash(self, side):
         self.seed += 1
         self.sides[side] = make_coordinator(SPEC, self.platform, self.seed)
         self.tasks[side], self.scoring[side], self.handed[side] = {}, {}, {}
 
-    @rule(side=SIDES)
-    def move(self, side):
+    @rule(side=SIDES, chance=RARELY)
+    def move(self, side, chance):
+        if chance:
+            return
         body = self.sides[side].hand_over()
         handed = self.handed[side]
         self.crash(side)
         self.perform(side, self.sides[side].take_over(body, self.now))
         self.handed[side] = handed
 
-    @rule(source=SIDES)
-    def take_over_into_running(self, source):
+    @rule(source=SIDES, chance=RARELY)
+    def take_over_into_running(self, source, chance):
+        if chance:
+            return
         body = self.sides[source].hand_over()
         self.perform(1 - source, self.sides[1 - source].take_over(body, self.now))
         self.crash(source)
@@ -94,8 +104,8 @@
             tokens=11 if kind == 1 else 10,
             segments=segments,
             attempt_id=task.task_id,
-            started_version=start,
-            finished_version=start - 1 if kind == 2 else self.version,
+            started_version=self.version + 1 if kind == 2 else start,
+            finished_version=self.version + (kind == 2),
             complete=kind != 3,
         )
         if kind > 3:
@@ -119,6 +129,15 @@
             actions = coordinator.on_score(task_id, float(len(task_id)), self.now)
         self.perform(side, actions)
 
+    @rule(side=SIDES, kinds=st.lists(st.integers(0, 7), min_size=1, max_size=4))
+    def work(self, side, kinds):
+        """Run a few rollouts from start to score."""
+        self.start(side, len(kinds), 0)
+        for kind, task_id in zip(kinds, sorted(self.tasks[side]), strict=False):
+            self.end_task(side, self.tasks[side].pop(task_id), kind)
+        while self.scoring[side]:
+            self.end_score(side, 2)
+
     @rule(seconds=st.integers(1, 60))
     def wait(self, seconds):
         self.now += seconds
