Check pull answers of the state machine as the trainer sees them

Change: each pull answer is checked against the trainer's cursor and the versions stated before, and scoring calls fail in more of the runs.

--- a/tests/lots/test_machine.py
+++ b/tests/lots/test_machine.py
@@ -38,6 +38,7 @@
         self.tasks = [{}, {}]
         self.scoring = [{}, {}]
         self.handed = [{}, {}]
+        self.stated = [0, 0]
         for side in (0, 1):
             self.crash(side)
 
@@ -59,6 +60,7 @@
         self.seed += 1
         self.sides[side] = make_coordinator(SPEC, self.platform, self.seed)
         self.tasks[side], self.scoring[side], self.handed[side] = {}, {}, {}
+        self.stated[side] = 0
 
     @rule(side=SIDES, chance=RARELY)
     def move(self, side, chance):
@@ -135,8 +137,8 @@
         self.start(side, len(kinds), 0)
         for kind, task_id in zip(kinds, sorted(self.tasks[side]), strict=False):
             self.end_task(side, self.tasks[side].pop(task_id), kind)
-        while self.scoring[side]:
-            self.end_score(side, 2)
+        for kind in kinds:
+            self.end_score(side, kind % 5)
 
     @rule(seconds=st.integers(1, 60))
     def wait(self, seconds):
@@ -159,7 +161,11 @@
         coordinator = self.sides[side]
         answer = coordinator.pull(self.consumed, self.trainer_version, count, self.now, whole)
         assert len(answer.samples) <= count
+        highest = max(self.stated[side], self.trainer_version)
+        assert answer.trainer_version >= highest
+        self.stated[side] = answer.trainer_version
         for sample in answer.samples:
+            assert sample.id not in self.received, "a consumed sample was handed over"
             before = self.handed[side].get(sample.id)
             stale = before and answer.trainer_version - before.lowest_version > 1
             assert before is None or stale or before == sample, "a handed sample was replaced"
