--- a/turmericreach/daemon/main.py
+++ b/turmericreach/daemon/main.py
@@ -8,7 +8,6 @@
 
 import capnp
 import cyclopts
-import uvloop
 from cyclopts import Parameter
 
 from turmericreach import __version__
@@ -48,7 +47,9 @@
         return 0
     configure_logging(loaded.telemetry.log_level, loaded.name, sys.stderr)
     try:
-        return uvloop.run(capnp.run(run_daemon(loaded, tls)))
+        # pycapnp 2.2.4 on uvloop ends with a segmentation fault when a peer connects and closes at
+        # once, for example a port probe; on asyncio's own loop it does not.
+        return asyncio.run(capnp.run(run_daemon(loaded, tls)))
     except OSError as error:
         listen = loaded.listen
         return fail(f"{settings}: listen: {listen.ip}: {error}; expected free ports")
