--- a/demo/layout.py
+++ b/demo/layout.py
@@ -14,6 +14,7 @@
 ENGINE_SLOTS = 8
 PLAIN_SLOTS = 32
 GATEWAYS = 2
+CALLER_DELAY_S = 0.003
 
 
 @attrs.frozen
@@ -30,19 +31,29 @@
 
 @attrs.frozen
 class DaemonPlace:
-    """A daemon process and where it runs."""
+    """A daemon process and where it runs.
+
+    Attributes
+    ----------
+    link_port : int
+        Port of the delayed link through which other daemons reach this one.
+    caller_port : int
+        Port of the delayed link through which callers reach a gateway.
+    """
 
     name: str
     role: str
     data_centre: str
     rpc_port: int
+    link_port: int
     http_port: int = 0
+    caller_port: int = 0
     targets: list[TargetPlace] = attrs.field(factory=list)
 
     @property
     def address(self) -> str:
         """Address of the inner protocol."""
-        return f"{IP}:{self.rpc_port}"
+        return f"{IP}:{self.link_port}"
 
 
 @attrs.frozen
@@ -72,7 +83,7 @@
     @property
     def urls(self) -> list[str]:
         """Addresses of the gateways for callers."""
-        return [f"http://{IP}:{daemon.http_port}" for daemon in self.gateways]
+        return [f"http://{IP}:{daemon.caller_port}" for daemon in self.gateways]
 
     def settings_file(self, daemon: DaemonPlace) -> Path:
         """Return the path of a daemon's settings."""
@@ -82,7 +93,7 @@
         """Write the settings of every daemon."""
         self.folder.mkdir(parents=True, exist_ok=True)
         for daemon in self.daemons:
-            listen = {"ip": IP, "rpc_port": daemon.rpc_port}
+            listen = {"ip": IP, "rpc_port": daemon.rpc_port, "advertised": daemon.address}
             if daemon.http_port:
                 listen["http_port"] = daemon.http_port
             settings = {
@@ -184,7 +195,7 @@
     model = deployment.model_service
     plain = deployment.plain_service
     targets_count = len(model.speeds) + plain.workers + 1
-    ports = iter(free_ports(2 + targets_count + 2 * GATEWAYS + targets_count))
+    ports = iter(free_ports(2 + targets_count + 4 * GATEWAYS + 2 * len(deployment.data_centres)))
     objects_port, weights_port = next(ports), next(ports)
     centres = deployment.data_centres
     targets = []
@@ -202,9 +213,21 @@
     for number in range(GATEWAYS):
         place = centres[number % len(centres)]
         daemons.append(
-            DaemonPlace(f"gateway-{number + 1}", "gateway", place, next(ports), next(ports))
+            DaemonPlace(
+                f"gateway-{number + 1}",
+                "gateway",
+                place,
+                next(ports),
+                next(ports),
+                next(ports),
+                next(ports),
+            )
         )
     for centre in centres:
         hosted = [target for target in targets if target.data_centre == centre]
-        daemons.append(DaemonPlace(f"agent-{centre}", "agent", centre, next(ports), 0, hosted))
+        daemons.append(
+            DaemonPlace(
+                f"agent-{centre}", "agent", centre, next(ports), next(ports), targets=hosted
+            )
+        )
     return Layout(deployment, folder, objects_port, weights_port, scoring, daemons)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from demo.layout import ENGINE_SLOTS, IP, DaemonPlace, Layout, TargetPlace
+from demo.layout import CALLER_DELAY_S, ENGINE_SLOTS, IP, DaemonPlace, Layout, TargetPlace
 
 __all__ = ["ProcessGroup"]
 
@@ -28,8 +28,7 @@
 
     async def start(self, name: str, *arguments: str) -> None:
         """Start a Python module as a process; its output goes to a file."""
-        log = (self.layout.folder / f"{name}.log").open("ab")
-        with log:
+        with open(self.layout.folder / f"{name}.log", "ab") as log:  # noqa: ASYNC230
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", *arguments, stdout=log, stderr=log
             )
@@ -42,7 +41,7 @@
         )
 
     async def start_platform(self) -> None:
-        """Start the object API, the weight store and all back ends."""
+        """Start the object API, the weight store, all back ends and the links."""
         await self.start_standin("objects", "objects", self.layout.objects_port)
         await self.start_standin("weightstore", "weightstore", self.layout.weights_port)
         for target in self.layout.targets:
@@ -50,6 +49,39 @@
         ports = [self.layout.objects_port, self.layout.weights_port]
         ports += [target.port for target in self.layout.targets]
         await asyncio.gather(*(wait_for_port(port) for port in ports))
+        await self.start_links()
+
+    async def start_links(self) -> None:
+        """Start the delayed links to the daemons."""
+        between_s = self.layout.deployment.link_delay_s
+        ports = []
+        for daemon in self.layout.daemons:
+            await self.start_link(
+                f"link-{daemon.name}", daemon.link_port, daemon.rpc_port, between_s
+            )
+            ports.append(daemon.link_port)
+            if daemon.caller_port:
+                await self.start_link(
+                    f"callers-{daemon.name}", daemon.caller_port, daemon.http_port, CALLER_DELAY_S
+                )
+                ports.append(daemon.caller_port)
+        await asyncio.gather(*(wait_for_port(port) for port in ports))
+
+    async def start_link(self, name: str, port: int, target_port: int, delay_s: float) -> None:
+        """Start one delayed link."""
+        await self.start(
+            name,
+            "turmericreach_standins",
+            "link",
+            "--host",
+            IP,
+            "--port",
+            str(port),
+            "--target-port",
+            str(target_port),
+            "--delay-ms",
+            str(delay_s * 1000),
+        )
 
     async def start_target(self, target: TargetPlace) -> None:
         """Start one back end."""
@@ -98,8 +130,8 @@
         """Stop everything, daemons first, and return the exit codes."""
         codes = {}
         daemons = {daemon.name for daemon in self.layout.daemons}
-        for group in (daemons, set(self.running) - daemons):
-            names = [name for name in self.running if name in group]
+        for daemons_first in (True, False):
+            names = [name for name in self.running if (name in daemons) is daemons_first]
             results = await asyncio.gather(*(self.terminate(name) for name in names))
             codes.update(zip(names, results, strict=True))
         return codes
--- a/turmericreach/daemon/node.py
+++ b/turmericreach/daemon/node.py
@@ -46,7 +46,7 @@
             role=settings.role.value,
             data_centre=settings.data_centre,
             region=settings.region,
-            address=f"{settings.listen.ip}:{settings.listen.rpc_port}",
+            address=self.rpc_address(),
             http_address=self.http_address(),
             started_ms=self.incarnation >> START_SHIFT,
             incarnation=self.incarnation & RANDOM_MASK,
@@ -73,6 +73,11 @@
         """Name of this daemon."""
         return self.settings.name
 
+    def rpc_address(self) -> str:
+        """Return the address for other daemons."""
+        listen = self.settings.listen
+        return listen.advertised or f"{listen.ip}:{listen.rpc_port}"
+
     def http_address(self) -> str:
         """Return the address for callers, empty if there is none."""
         listen = self.settings.listen
--- a/turmericreach/settings/loader.py
+++ b/turmericreach/settings/loader.py
@@ -58,6 +58,9 @@
     ip = listen.get("ip", "127.0.0.1")
     if not is_ip(ip):
         document.add("listen.ip", f"expected an IP address, found {ip!r}")
+    advertised = listen.get("advertised", "")
+    if advertised and not is_address(advertised):
+        document.add("listen.advertised", f"expected ip:port, found {advertised!r}")
     if document.value.get("role") != Role.GATEWAY or "listen.http_port" in document.lines:
         if listen.get("http_port", 0) == listen.get("rpc_port", 7400):
             document.add("listen.http_port", "expected another port than rpc_port")
--- a/turmericreach/settings/schema.py
+++ b/turmericreach/settings/schema.py
@@ -39,11 +39,14 @@
         Port of the inner protocol.
     http_port : int
         Port for callers; a gateway only.
+    advertised : str
+        ``ip:port`` under which other daemons reach this one, empty for ``ip`` and `rpc_port`.
     """
 
     ip: str = "127.0.0.1"
     rpc_port: int = bounded(7400, minimum=1, maximum=MAX_PORT)
     http_port: int = bounded(0, minimum=0, maximum=MAX_PORT)
+    advertised: str = ""
 
 
 @attrs.frozen
--- a/turmericreach_standins/main.py
+++ b/turmericreach_standins/main.py
@@ -10,6 +10,7 @@
 
 from turmericreach_standins.common.serving import serve_process
 from turmericreach_standins.engine import EngineSettings, create_engine
+from turmericreach_standins.link import LinkSettings, run_link
 from turmericreach_standins.objects import ObjectsSettings, create_objects
 from turmericreach_standins.service import ServiceSettings, create_service
 from turmericreach_standins.weightstore import WeightStoreSettings, create_weightstore
@@ -84,6 +85,21 @@
     serve(create_objects(settings), host, port, grace_s)
 
 
+@app.command
+def link(
+    *,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    settings: Annotated[LinkSettings, Flat],
+):
+    """Forward TCP connections with a one-way delay."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        try:
+            runner.run(run_link(host, port, settings))
+        except OSError as error:
+            sys.exit(f"cannot listen on {host}:{port}: {error.strerror}")
+
+
 def run():
     """Run the command line."""
     app()
