--- a/demo/faults.py
+++ b/demo/faults.py
@@ -3,14 +3,18 @@
 import asyncio
 import signal
 
+import aiohttp
 import attrs
 
+from demo.layout import IP
 from demo.processes import ProcessGroup
 
 __all__ = ["Fault", "FaultPlan", "parse_fault"]
 
 FREEZE_S = 6.0
 RESTART_S = 1.0
+OUTAGE_S = 12.0
+KINDS = ("kill", "stop", "freeze", "outage")
 
 
 @attrs.frozen
@@ -23,29 +27,39 @@
 
 
 def parse_fault(text: str) -> Fault:
-    """Read ``kind:name@seconds``; raises `ValueError`."""
+    """Read ``kind:name@seconds``; raises `ValueError`.
+
+    The kinds are ``kill`` (SIGKILL), ``stop`` (SIGTERM), ``freeze`` (SIGSTOP for some seconds) and
+    ``outage``, which makes the object API refuse every call for some seconds.
+    """
     kind, _, rest = text.partition(":")
     name, _, at_s = rest.partition("@")
-    if kind not in ("kill", "stop", "freeze") or not name or not at_s:
-        raise ValueError(f"{text}: expected kill:NAME@SECONDS, stop:... or freeze:...")
+    if kind not in KINDS or not name or not at_s:
+        raise ValueError(f"{text}: expected one of {KINDS} as kind:NAME@SECONDS")
     return Fault(kind, name, float(at_s))
 
 
 @attrs.define
 class FaultPlan:
-    """Faults in the order of time."""
+    """Faults of one run."""
 
     faults: list[Fault]
 
     async def run(self, group: ProcessGroup, started: float) -> None:
-        """Inject the faults; killed and stopped daemons are started again."""
+        """Inject the faults; what was killed or stopped is started again."""
         loop = asyncio.get_running_loop()
-        for fault in sorted(self.faults, key=lambda item: item.at_s):
+
+        async def inject_at(fault: Fault) -> None:
             await asyncio.sleep(max(0.0, started + fault.at_s - loop.time()))
             await self.inject(group, fault)
 
+        await asyncio.gather(*(inject_at(fault) for fault in self.faults))
+
     async def inject(self, group: ProcessGroup, fault: Fault) -> None:
         """Inject one fault."""
+        if fault.kind == "outage":
+            await self.outage(group)
+            return
         if fault.kind == "freeze":
             process = group.running[fault.name]
             process.send_signal(signal.SIGSTOP)
@@ -59,9 +73,21 @@
             if code != 0:
                 raise RuntimeError(f"{fault.name} ended with code {code} on SIGTERM")
         await asyncio.sleep(RESTART_S)
+        await self.restart(group, fault.name)
+
+    async def outage(self, group: ProcessGroup) -> None:
+        """Make the object API refuse every call for a while."""
+        url = f"http://{IP}:{group.layout.objects_port}/standin/faults"
+        async with aiohttp.ClientSession() as session:
+            await session.post(url, json={"down": True})
+            await asyncio.sleep(OUTAGE_S)
+            await session.post(url, json={"down": None})
+
+    async def restart(self, group: ProcessGroup, name: str) -> None:
+        """Start a daemon or a back end again."""
         for daemon in group.layout.daemons:
-            if daemon.name == fault.name:
+            if daemon.name == name:
                 await group.start_daemon(daemon)
         for target in group.layout.targets:
-            if target.name == fault.name:
+            if target.name == name:
                 await group.start_target(target)
--- a/demo/main.py
+++ b/demo/main.py
@@ -40,7 +40,7 @@
     seconds: Annotated[float, Parameter(help="Time in which new lots are begun.")] = 60.0,
     fault: Annotated[
         list[str] | None,
-        Parameter(help="kill:NAME@SECONDS, stop:NAME@SECONDS or freeze:NAME@SECONDS."),
+        Parameter(help="KIND:NAME@SECONDS; kinds are kill, stop, freeze, outage."),
     ] = None,
 ) -> int:
     """Run lots for two trainers beside ordinary requests and check the guarantees."""
