--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -1,6 +1,7 @@
 """The delayed link."""
 
 import asyncio
+import contextlib
 import time
 
 from turmericreach_standins.link import DelayedLink, LinkSettings
@@ -35,9 +36,7 @@
     link = DelayedLink("127.0.0.1", LinkSettings(1, 1.0))
     port = await link.start(0)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
+    with contextlib.suppress(ConnectionResetError):
         assert await reader.read() == b""
-    except ConnectionResetError:
-        pass
     writer.close()
     await link.stop()
