--- /dev/null
+++ b/tests/docs/test_quickstart.py
@@ -0,0 +1,62 @@
+"""The commands of the quickstart page, run as a reader would."""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from demo.layout import free_ports
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / "docs" / "quickstart.md"
+BLOCK = re.compile(r"^```bash\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+PORT = re.compile(r"\b7[14]\d\d\b")
+RUN_LIMIT_S = 50
+# A command that fails ends the page; its processes are ended as well.
+PRELUDE = "set -eu\ntrap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n"
+
+
+def page_script() -> str:
+    """Return the commands of the page, with free ports in place of the printed ones."""
+    text = "".join(BLOCK.findall(PAGE.read_text()))
+    printed = sorted(set(PORT.findall(text)))
+    ports = dict(zip(printed, free_ports(len(printed)), strict=True))
+    return PRELUDE + PORT.sub(lambda match: str(ports[match.group()]), text)
+
+
+def run_page(folder: Path) -> str:
+    """Run the commands of the page and return what they print."""
+    environment = dict(os.environ, PYTHONPATH=str(ROOT))
+    environment["PATH"] = f"{Path(sys.executable).parent}{os.pathsep}{environment['PATH']}"
+    shell = subprocess.Popen(
+        ["bash", "-c", page_script()],
+        cwd=folder,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
+    try:
+        printed, _ = shell.communicate(timeout=RUN_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        # The shell cannot run its trap while a command hangs, so its whole group is ended.
+        os.killpg(shell.pid, signal.SIGKILL)
+        printed, _ = shell.communicate()
+    assert shell.returncode == 0, printed
+    return printed
+
+
+def test_the_commands_of_the_page_do_what_it_says(tmp_path):
+    """Guards against a page whose commands have fallen behind the programs."""
+    printed = run_page(tmp_path)
+    assert '{"state":"ready"}' in printed
+    assert len((tmp_path / "samples.jsonl").read_text().splitlines()) == 16
+    assert "turmericreach-verdict: answered" in printed
+    orders = re.findall(r'\{"request_id":"(\w+)","method":"POST"[^}]*"execution":(\d+)', printed)
+    assert len(orders) == 2
+    assert orders[0] == orders[1]
+    assert re.search(r'"target":"assistant-1"[^}]*"version":2', printed)
+    assert "handed to trainer-1 at version 1" in printed
