Close a connection to a peer when the peer closes it

Ruled out: too short a leaving time, since the agents abandoned no request and there was exactly one failure for each gateway and restart. Change: PeerClient watches its connection and closes it, so that the pool opens a new one.

--- a/turmericreach/rpc/client.py
+++ b/turmericreach/rpc/client.py
@@ -1,6 +1,7 @@
 """Client side of the inner protocol: one connection a peer, every call with a deadline."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -70,6 +71,17 @@
         self.peer = peer
         self.connected_at = connected_at
         self.closed = False
+        self.watch = asyncio.ensure_future(self.close_on_disconnect())
+
+    async def close_on_disconnect(self) -> None:
+        """Close when the peer does.
+
+        Otherwise the first attempt after a restart of the peer would go into a dead connection,
+        and whether it ran could not be established.
+        """
+        with contextlib.suppress(capnp.KjException):
+            await self.client.on_disconnect()
+        self.close()
 
     def peer_deadline_ms(self, deadline: float) -> int:
         """Convert a deadline on the loop's clock to the peer's clock.
@@ -160,6 +172,7 @@
         if self.closed:
             return
         self.closed = True
+        self.watch.cancel()
         self.stream.close()
 
 
