Prove attempts under faults; keep one slow call from cutting off others

Cause: a call that timed out closed the connection that all other calls to that daemon share, so one slow request made orders in flight end as MAY_HAVE_RUN. A keyed order that found no target was answered NOT_RUN although an earlier submission may have run. An order settled by its claim counted as a failure of a target that it was never sent to. A control message over 64 MiB was refused by pycapnp, so the largest lots could be neither forwarded nor handed over. An execution that failed before its start stayed queued for ever. A copy of a submission that came after its record had expired was answered NOT_RUN. Change: a dropped connection closes when its calls have ended; large control messages go in parts; the runner gives NOT_RUN for a keyed order only after its claim; contract tests with fault tables.

--- /dev/null
+++ b/tests/attempts/test_claims.py
@@ -0,0 +1,119 @@
+"""Guards keyed orders against a platform that is down, slow or loses answers."""
+
+import asyncio
+
+import pytest
+
+from tests.attempts.test_runner import make_runner, now, with_claims
+from tests.builders.attempts import FakeAgent, FakeNetwork, make_request
+from turmericreach.verdicts import ErrorCode, Verdict
+
+pytestmark = pytest.mark.looptime
+
+
+def order(number, **changes):
+    return make_request(request_id=f"r{number}", key="k", deadline=now() + 10.0, **changes)
+
+
+async def no_fault(store):
+    pass
+
+
+async def down(store):
+    store.faults.down = True
+
+
+async def limited(store):
+    store.faults.rate_limited = True
+
+
+async def slow(store):
+    store.faults.delay_s = 1.0
+
+
+async def lost_answer(store):
+    store.faults.lose_answers = 1
+
+
+async def lost_request(store):
+    store.faults.lose_requests = 1
+
+
+async def lost_twice(store):
+    store.faults.lose_answers, store.faults.lose_requests = 1, 1
+
+
+async def late_write(store):
+    store.faults.late_writes = 1
+
+
+async def late_writes_only(store):
+    store.faults.late_writes = 9
+
+
+# Fault during the first submission, and its verdict.
+FAULTS = [
+    (no_fault, Verdict.ANSWERED),
+    (down, Verdict.MAY_HAVE_RUN),
+    (limited, Verdict.MAY_HAVE_RUN),
+    (slow, Verdict.ANSWERED),
+    (lost_answer, Verdict.ANSWERED),
+    (lost_request, Verdict.ANSWERED),
+    (lost_twice, Verdict.ANSWERED),
+    (late_write, Verdict.ANSWERED),
+    (late_writes_only, Verdict.MAY_HAVE_RUN),
+]
+
+
+@pytest.mark.parametrize("restart", [False, True])
+@pytest.mark.parametrize(("fault", "verdict"), FAULTS)
+async def test_two_submissions_run_once(fault, verdict, restart):
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    runner = make_runner(network)
+    await fault(network.store)
+    first = await runner.run(order(1))
+    assert first.verdict is verdict
+    if verdict is Verdict.MAY_HAVE_RUN:
+        assert first.code == ErrorCode.CLAIM_UNAVAILABLE
+        assert agent.record.total() == 0
+    network.store.faults.__init__()
+    network.store.land()
+    if restart:
+        agent.crash()
+        agent.start()
+    second = await runner.run(order(2))
+    assert agent.record.total() <= 1
+    if not restart:
+        assert second.verdict is Verdict.ANSWERED
+        assert agent.record.total() == 1
+
+
+async def test_two_gateways_that_race_run_an_order_once():
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    network.store.faults.delay_s = 0.1
+    runs = [make_runner(network).run(order(number)) for number in range(4)]
+    outcomes = await asyncio.gather(*runs)
+    assert agent.record.total() == 1
+    assert {outcome.verdict for outcome in outcomes} <= {Verdict.ANSWERED, Verdict.MAY_HAVE_RUN}
+
+
+async def test_a_claimed_order_that_was_never_sent_is_taken_over_and_stays_revoked():
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    network.faults["submit"].late_s = 5.0
+    frozen = asyncio.ensure_future(make_runner(network).run(order(1)))
+    await asyncio.sleep(0.5)
+    second = await make_runner(network).run(order(2))
+    assert second.verdict is Verdict.ANSWERED
+    assert (await frozen).body == b"r2"
+    assert (agent.record["r1"], agent.record["r2"]) == (0, 1)
+
+
+async def test_a_key_of_another_service_is_another_claim():
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    await make_runner(network).run(order(1))
+    await make_runner(network).run(order(2, service="confirmations"))
+    assert agent.record.total() == 2
--- /dev/null
+++ b/tests/attempts/test_runner.py
@@ -0,0 +1,165 @@
+"""Guards what a gateway does about each fault of an agent or of a message."""
+
+import asyncio
+
+import pytest
+
+from tests.builders.attempts import FakeAgent, FakeNetwork, make_request
+from tests.builders.objectstore import MemoryObjectStore
+from turmericreach.attempts import ClaimKeeper, RequestRunner
+from turmericreach.routing import RetryBudget, TargetState
+from turmericreach.verdicts import ErrorCode, Verdict
+
+pytestmark = pytest.mark.looptime
+
+NOT_RUN, MAY, ANSWERED = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.ANSWERED
+
+
+def make_runner(network, **options):
+    return RequestRunner(network, network, network, RetryBudget(now=0.0, **options))
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def with_claims(network):
+    network.store = MemoryObjectStore()
+    network.claims = ClaimKeeper(network.store, network, lambda: 0.0)
+    return network
+
+
+async def at(seconds, action):
+    await asyncio.sleep(seconds)
+    action()
+
+
+# Fault, point in time (the target works from 0 to 0.5 s), the verdict of an order, and how often
+# it ran.
+FAULTS = [
+    ("none", 0.0, ANSWERED, 1),
+    ("crash", 0.0, NOT_RUN, 0),
+    ("crash", 0.25, MAY, 1),
+    ("restart", 0.25, MAY, 1),
+    ("crash", 0.75, ANSWERED, 1),
+    ("freeze", 0.0005, NOT_RUN, 0),
+    ("freeze", 0.25, ANSWERED, 1),
+    ("lose_request", 0.0, NOT_RUN, 0),
+    ("lose_answer", 0.0, ANSWERED, 1),
+    ("double", 0.0, ANSWERED, 1),
+    ("late", 0.0, NOT_RUN, 0),
+]
+
+
+def inject(fault, agent, network):
+    if fault in ("crash", "restart"):
+        agent.crash()
+    if fault == "restart":
+        agent.start()
+    if fault == "freeze":
+        agent.thawed.clear()
+        asyncio.get_running_loop().call_later(10.2, agent.thawed.set)
+    if fault in ("lose_request", "lose_answer", "double"):
+        setattr(network.faults["submit"], fault, 1)
+    if fault == "late":
+        network.faults["submit"].late_s = 10.3
+
+
+@pytest.mark.parametrize(("fault", "when", "verdict", "runs"), FAULTS)
+async def test_an_order_under_one_fault(fault, when, verdict, runs):
+    agent = FakeAgent()
+    network = FakeNetwork(agent)
+    if when:
+        asyncio.ensure_future(at(when, lambda: inject(fault, agent, network)))
+    else:
+        inject(fault, agent, network)
+    start = now()
+    outcome = await make_runner(network).run(make_request(deadline=start + 10.0))
+    assert now() - start < 20.0
+    await asyncio.sleep(30.0)
+    assert (outcome.verdict, agent.record["r1"]) == (verdict, runs)
+
+
+@pytest.mark.parametrize("second", [row[:2] for row in FAULTS])
+@pytest.mark.parametrize("first", [row[:2] for row in FAULTS])
+async def test_an_order_under_two_faults(first, second):
+    agent, spare = FakeAgent("t1"), FakeAgent("t2")
+    network = FakeNetwork(agent, spare)
+    for fault, when in (first, second):
+        delay = when + (0.05 if (fault, when) == first else 0.0)
+        asyncio.ensure_future(at(delay, lambda name=fault: inject(name, agent, network)))
+    await asyncio.sleep(0)
+    outcome = await make_runner(network).run(make_request(deadline=now() + 10.0))
+    await asyncio.sleep(30.0)
+    runs = agent.record["r1"] + spare.record["r1"]
+    assert runs <= 1
+    assert outcome.verdict is not NOT_RUN or runs == 0
+    assert outcome.verdict is not ANSWERED or runs == 1
+
+
+@pytest.mark.parametrize(("fault", "when"), [row[:2] for row in FAULTS])
+async def test_an_idempotent_request_is_answered_while_another_target_is_up(fault, when):
+    agent, spare = FakeAgent("t1"), FakeAgent("t2")
+    network = FakeNetwork(agent, spare)
+
+    def suspect():
+        network.states["t1"] = TargetState.SUSPECT
+
+    asyncio.ensure_future(at(when, lambda: inject(fault, agent, network)))
+    asyncio.ensure_future(at(3.0, suspect))
+    request = make_request(deadline=now() + 10.0, idempotent=True)
+    assert (await make_runner(network).run(request)).verdict is ANSWERED
+
+
+async def test_a_settlement_that_was_lost_leaves_the_verdict_open():
+    agent = FakeAgent()
+    network = FakeNetwork(agent)
+    network.faults["submit"].lose_answer = 1
+    network.faults["settle"].lose_answer = 2
+    assert (await make_runner(network).run(make_request(deadline=now() + 5.0))).verdict is MAY
+
+
+async def test_a_caller_that_leaves_does_not_stop_an_order_that_has_begun():
+    agent = FakeAgent()
+    task = asyncio.ensure_future(make_runner(FakeNetwork(agent)).run(make_request()))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    await asyncio.sleep(2.0)
+    entry = next(iter(agent.server.table.entries.values()))
+    assert entry.outcome.verdict is ANSWERED
+
+
+async def test_a_caller_that_leaves_takes_a_waiting_order_back():
+    agent = FakeAgent()
+    runner = make_runner(FakeNetwork(agent))
+    first = asyncio.ensure_future(runner.run(make_request(request_id="r0")))
+    await asyncio.sleep(0.1)
+    second = asyncio.ensure_future(runner.run(make_request()))
+    await asyncio.sleep(0.1)
+    second.cancel()
+    assert (await first).verdict is ANSWERED
+    await asyncio.sleep(5.0)
+    assert agent.record["r1"] == 0
+
+
+async def test_a_keyed_order_without_a_target_may_have_run_before():
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    order = make_request(key="k", deadline=now() + 5.0)
+    assert (await make_runner(network).run(order)).verdict is ANSWERED
+    network.states["t1"] = TargetState.SUSPECT
+    again = make_request(key="k", request_id="r2", deadline=now() + 5.0)
+    assert (await make_runner(network).run(again)).verdict is MAY
+
+
+async def test_a_keyed_order_that_was_settled_by_its_claim_says_nothing_about_the_target():
+    agent = FakeAgent()
+    network = with_claims(FakeNetwork(agent))
+    runner = make_runner(network)
+    await runner.run(make_request(key="k", deadline=now() + 5.0))
+    agent.crash()
+    agent.start()
+    network.ended.clear()
+    outcome = await runner.run(make_request(key="k", request_id="r2", deadline=now() + 5.0))
+    assert outcome.verdict is MAY
+    assert [code for _, _, code in network.ended] == [ErrorCode.CANCELLED]
--- /dev/null
+++ b/tests/attempts/test_table.py
@@ -0,0 +1,108 @@
+"""Guards the agent's record against answering NOT_RUN for what ran or may still run."""
+
+import pytest
+
+from tests.builders.attempts import make_attempt
+from turmericreach.attempts import AttemptState, AttemptTable, DuplicateAttempt
+from turmericreach.verdicts import ErrorCode, Outcome, Verdict
+
+ANSWER = Outcome(Verdict.ANSWERED, status=200, body=b"done")
+NOT_RUN, MAY, ANSWERED = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.ANSWERED
+
+
+def reach(table, stage):
+    """Bring attempt a1 to a stage of its life."""
+    if stage == "unknown":
+        return
+    entry = table.accept(make_attempt(), 0.0)
+    if stage == "queued":
+        return
+    if stage == "revoked":
+        table.settle("a1", 1, 10_000, 0.0)
+        return
+    assert table.start(entry, 1.0) is None
+    if stage == "started":
+        return
+    table.finish(entry, ANSWER, answer_kept=stage != "streamed")
+
+
+# Stage, time of the settlement, and its verdict; the deadline is at 10 s.
+SETTLEMENTS = [
+    ("unknown", 1.0, NOT_RUN),
+    ("unknown", 69.0, NOT_RUN),
+    ("unknown", 70.0, MAY),
+    ("queued", 1.0, NOT_RUN),
+    ("revoked", 60.0, NOT_RUN),
+    ("revoked", 3609.0, NOT_RUN),
+    ("revoked", 3611.0, MAY),
+    ("started", 1.0, MAY),
+    ("started", 5000.0, MAY),
+    ("done", 9.0, ANSWERED),
+    ("done", 3600.0, ANSWERED),
+    ("done", 3611.0, MAY),
+    ("streamed", 9.0, MAY),
+]
+
+
+@pytest.mark.parametrize(("stage", "now", "verdict"), SETTLEMENTS)
+@pytest.mark.parametrize("twice", [False, True])
+def test_settlement_at_each_stage(stage, now, verdict, twice):
+    table = AttemptTable("a", 1)
+    reach(table, stage)
+    for _ in range(2 if twice else 1):
+        table.expire(now)
+        found = table.settle("a1", 1, 10_000, now)
+        outcome = found if isinstance(found, Outcome) else table.result(found)
+        assert outcome.verdict is verdict
+
+
+@pytest.mark.parametrize("stage", ["unknown", "queued", "revoked", "started", "done", "streamed"])
+def test_settlement_of_a_former_incarnation_is_unknown(stage):
+    table = AttemptTable("a", 1)
+    reach(table, stage)
+    assert table.settle("a1", 7, 10_000, 1.0).verdict is MAY
+
+
+@pytest.mark.parametrize("stage", ["queued", "revoked", "started", "done", "streamed"])
+def test_a_doubled_submission_does_not_run_again(stage):
+    table = AttemptTable("a", 1)
+    reach(table, stage)
+    with pytest.raises(DuplicateAttempt):
+        table.accept(make_attempt(), 2.0)
+
+
+@pytest.mark.parametrize(
+    ("changes", "now", "verdict", "code"),
+    [
+        ({"incarnation": 2}, 1.0, NOT_RUN, ErrorCode.STALE_INCARNATION),
+        ({}, 10.0, NOT_RUN, ErrorCode.DEADLINE_EXCEEDED),
+        # The first copy of the message may have run and its record is gone.
+        ({}, 70.0, MAY, ErrorCode.DEADLINE_EXCEEDED),
+        ({"deadline_ms": 4_000_000}, 1.0, NOT_RUN, ErrorCode.BAD_REQUEST),
+    ],
+)
+def test_a_submission_that_may_not_run_is_refused(changes, now, verdict, code):
+    table = AttemptTable("a", 1)
+    outcome = table.accept(make_attempt(**changes), now)
+    assert (outcome.verdict, outcome.code) == (verdict, code)
+
+
+def test_a_revoked_attempt_never_starts():
+    table = AttemptTable("a", 1)
+    entry = table.accept(make_attempt(), 0.0)
+    table.settle("a1", 1, 10_000, 1.0)
+    assert table.start(entry, 2.0).verdict is NOT_RUN
+    assert entry.state is AttemptState.REVOKED
+
+
+def test_an_attempt_does_not_start_after_its_deadline():
+    table = AttemptTable("a", 1)
+    entry = table.accept(make_attempt(), 0.0)
+    assert table.start(entry, 10.0).code == ErrorCode.DEADLINE_EXCEEDED
+
+
+def test_running_attempts_are_never_forgotten():
+    table = AttemptTable("a", 1)
+    reach(table, "started")
+    table.expire(1e9)
+    assert table.in_flight() == 1
--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -5,9 +5,16 @@
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router, SentAttempt
 from turmericreach.attempts.stream import CallerStream
-from turmericreach.attempts.table import AttemptEntry, AttemptState, AttemptTable, DuplicateAttempt
+from turmericreach.attempts.table import (
+    MAX_DEADLINE_S,
+    AttemptEntry,
+    AttemptState,
+    AttemptTable,
+    DuplicateAttempt,
+)
 
 __all__ = [
+    "MAX_DEADLINE_S",
     "AttemptEntry",
     "AttemptObserver",
     "AttemptState",
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -148,6 +148,8 @@
         """
         tried: list[str] = []
         counts = RetryCounts()
+        # An earlier submission with the same key may have run; only a claim shows that none did.
+        unclaimed = bool(request.key) and not request.idempotent
         may_have_run = False
         backoff_s = BACKOFF_START_S
         while True:
@@ -159,15 +161,16 @@
                     backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
                     tried.clear()
                     continue
-                return self.final(outcome, may_have_run)
-            outcome = await self.attempt(request, choice, stream, on_sent)
+                return self.final(outcome, may_have_run or unclaimed)
+            outcome, sent = await self.attempt(request, choice, stream, on_sent)
+            unclaimed = unclaimed and not sent
             if outcome.verdict is Verdict.ANSWERED:
                 self.budget.on_success(self.now())
                 return outcome
             tried.append(choice.target)
             may_have_run = may_have_run or outcome.verdict is Verdict.MAY_HAVE_RUN
             if not self.may_retry(request, outcome, stream, counts):
-                return self.final(outcome, may_have_run)
+                return self.final(outcome, may_have_run or unclaimed)
 
     def choose(self, request: CallerRequest, tried: list[str]) -> Choice | Refusal:
         """Choose a target that was not tried yet."""
@@ -224,43 +227,50 @@
         self.observer.on_decision(request.request_id, "", what, outcome.evidence)
         return allowed
 
-    async def attempt(self, request, choice: Choice, stream, on_sent) -> Outcome:
-        """Make one attempt at a chosen target."""
+    async def attempt(self, request, choice: Choice, stream, on_sent) -> tuple[Outcome, bool]:
+        """Make one attempt at a chosen target; return its outcome and whether it was sent."""
         attempt_id = new_attempt_id()
         started = self.now()
         self.router.on_sent(choice.target, attempt_id, request.priority, started)
         outcome = Outcome(
             Verdict.MAY_HAVE_RUN, code=ErrorCode.CANCELLED, evidence="gateway: caller left"
         )
+        learned = outcome
+        sent = False
         try:
-            outcome = await self.send(request, choice.target, attempt_id, stream, on_sent)
+            client = await self.connect(choice.target)
+            if isinstance(client, Outcome):
+                outcome = learned = client
+                return outcome, sent
+            address = address_attempt(request, choice.target, attempt_id, client)
+            refusal = await self.observer.before_send(request, address)
+            if refusal is not None:
+                # It concerns an earlier submission, so it says nothing about this target.
+                outcome = refusal
+                return outcome, sent
+            sent = True
+            outcome = learned = await self.send(request, address, client, stream, on_sent)
+            return outcome, sent
         finally:
             now = self.now()
-            tokens = sum(segment.tokens for segment in outcome.segments)
-            self.router.on_ended(choice.target, attempt_id, outcome, now - started, tokens, now)
+            tokens = sum(segment.tokens for segment in learned.segments)
+            self.router.on_ended(choice.target, attempt_id, learned, now - started, tokens, now)
             what = f"{choice.target}: {outcome.verdict} {outcome.code}".strip()
             self.observer.on_decision(request.request_id, attempt_id, what, outcome.evidence)
-        return outcome
 
-    async def send(self, request, target: str, attempt_id: str, stream, on_sent) -> Outcome:
-        """Send an attempt and settle it if its answer is missing."""
+    async def connect(self, target: str) -> PeerClient | Outcome:
+        """Return a connection to the agent beside a target, or the refusal if there is none."""
         try:
-            client = await self.peers.agent_of(target)
+            return await self.peers.agent_of(target)
         except PeerUnreachable as error:
             return Outcome(
                 Verdict.NOT_RUN,
                 code=ErrorCode.TARGET_UNREACHABLE,
                 evidence=f"gateway: nothing sent: {error}",
             )
-        sent = SentAttempt(
-            attempt_id,
-            target,
-            client.peer.incarnation,
-            client.peer_deadline_ms(request.deadline),
-        )
-        refusal = await self.observer.before_send(request, sent)
-        if refusal is not None:
-            return refusal
+
+    async def send(self, request, sent: SentAttempt, client, stream, on_sent) -> Outcome:
+        """Send an attempt and settle it if its answer is missing."""
         if on_sent is not None:
             on_sent(sent)
         attempt = build_attempt(request, sent, stream)
@@ -269,7 +279,7 @@
         except (PeerDisconnected, PeerTimeout, PeerFailed) as error:
             return await self.settle(request, sent, error)
         except asyncio.CancelledError:
-            self.cancel_in_background(client, attempt_id)
+            self.cancel_in_background(client, sent.attempt_id)
             raise
 
     async def submit(self, client: PeerClient, attempt: Attempt, request, stream) -> Outcome:
@@ -317,6 +327,12 @@
         return unknown
 
 
+def address_attempt(request, target: str, attempt_id: str, client: PeerClient) -> SentAttempt:
+    """Return the address of an attempt at the agent that a connection leads to."""
+    deadline_ms = client.peer_deadline_ms(request.deadline)
+    return SentAttempt(attempt_id, target, client.peer.incarnation, deadline_ms)
+
+
 def build_attempt(request: CallerRequest, sent: SentAttempt, stream) -> Attempt:
     """Return the message for one attempt of a request."""
     return Attempt(
--- a/turmericreach/attempts/table.py
+++ b/turmericreach/attempts/table.py
@@ -8,7 +8,7 @@
 from turmericreach.rpc import Attempt
 from turmericreach.verdicts import ErrorCode, Outcome, TurmericreachError, Verdict
 
-__all__ = ["AttemptEntry", "AttemptState", "AttemptTable", "DuplicateAttempt"]
+__all__ = ["MAX_DEADLINE_S", "AttemptEntry", "AttemptState", "AttemptTable", "DuplicateAttempt"]
 
 # A refused or revoked attempt is remembered for this long after its deadline. A settlement that
 # comes later than that cannot be answered from the absence of a record.
@@ -116,6 +116,8 @@
         known = self.entries.get(attempt.attempt_id)
         if known is not None:
             raise DuplicateAttempt(known)
+        if now >= deadline + KEEP_S:
+            return self.unknown(ErrorCode.DEADLINE_EXCEEDED, "the record has expired")
         if now >= deadline:
             return self.refuse(ErrorCode.DEADLINE_EXCEEDED, "arrived after its deadline")
         if deadline > now + MAX_DEADLINE_S:
--- a/turmericreach/daemon/agent.py
+++ b/turmericreach/daemon/agent.py
@@ -76,11 +76,20 @@
             raise
         except Exception as error:  # noqa: BLE001 - the attempt may have run, whatever failed here
             log_event(events.INTERNAL_ERROR, error=type(error).__name__, where="attempt")
-            outcome = self.table.unknown(ErrorCode.INTERNAL, f"unexpected {type(error).__name__}")
+            outcome = self.after_fault(entry, error)
         self.report(attempt, outcome)
         running, _ = target.in_flight()
         return with_load(outcome, running)
 
+    def after_fault(self, entry: AttemptEntry, error: Exception) -> Outcome:
+        """Bring the entry of an attempt whose execution failed here to a final state."""
+        reason = f"unexpected {type(error).__name__}"
+        if entry.state is AttemptState.QUEUED:
+            return self.table.revoke(entry, ErrorCode.INTERNAL, reason)
+        if entry.state is AttemptState.STARTED:
+            self.table.finish(entry, self.table.unknown(ErrorCode.INTERNAL, reason))
+        return self.table.result(entry)
+
     def forget(self, attempt_id: str, task: asyncio.Task) -> None:
         """Drop the task of an attempt that ended."""
         self.executions.pop(attempt_id, None)
--- a/turmericreach/rpc/client.py
+++ b/turmericreach/rpc/client.py
@@ -1,6 +1,7 @@
 """Client side of the inner protocol: one connection a peer, every call with a deadline."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -70,6 +71,9 @@
         self.peer = peer
         self.connected_at = connected_at
         self.closed = False
+        self.retired = False
+        self.calls = 0
+        self.message_ids = itertools.count(1)
 
     def peer_deadline_ms(self, deadline: float) -> int:
         """Convert a deadline on the loop's clock to the peer's clock.
@@ -106,6 +110,7 @@
 
     async def call(self, promise, timeout_s):
         """Wait for a call's answer and translate its errors."""
+        self.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
                 return await promise
@@ -116,6 +121,10 @@
                 raise PeerFailed(f"{self.peer.name}: {error.description}") from error
             self.close()
             raise PeerDisconnected(f"{self.peer.name}: {error.description}") from error
+        finally:
+            self.calls -= 1
+            if self.retired and self.calls == 0:
+                self.close()
 
     async def submit(
         self, attempt: Attempt, timeout_s: float, handler: ChunkHandler | None = None
@@ -152,9 +161,20 @@
 
     async def control(self, kind: str, body: bytes, timeout_s: float) -> bytes:
         """Send a control message and return the body of its answer."""
-        reply = await self.call(self.daemon.control(kind, body), timeout_s)
+        parts = range(0, max(1, len(body)), messages.PART_BYTES)
+        message = next(self.message_ids)
+        for position, start in enumerate(parts):
+            part = body[start : start + messages.PART_BYTES]
+            left = len(parts) - 1 - position
+            reply = await self.call(self.daemon.control(kind, part, message, left), timeout_s)
         return bytes(reply.body)
 
+    def retire(self):
+        """Close the connection when its calls in flight have ended; each has a time-out."""
+        self.retired = True
+        if self.calls == 0:
+            self.close()
+
     def close(self):
         """Close the connection."""
         if self.closed:
@@ -195,12 +215,16 @@
         return client
 
     def drop(self, address: str):
-        """Close the connection to an address, for example after a time-out."""
+        """Use a new connection to an address from now on, for example after a time-out.
+
+        Other calls on the old connection go on: one slow call must not cut off the rest.
+        """
         client = self.clients.pop(address, None)
         if client is not None:
-            client.close()
+            client.retire()
 
     def close(self):
         """Close all connections."""
-        for address in list(self.clients):
-            self.drop(address)
+        for client in self.clients.values():
+            client.close()
+        self.clients.clear()
--- a/turmericreach/rpc/inner.capnp
+++ b/turmericreach/rpc/inner.capnp
@@ -71,5 +71,6 @@
   settle @2 (attemptId :Text, incarnation :UInt64, deadlineMs :UInt64, waitMs :UInt32) -> (outcome :Outcome);
   cancel @3 (attemptId :Text) -> ();
   # Control messages: `kind` names a registered message type, `body` is its JSON encoding.
-  control @4 (kind :Text, body :Data) -> (body :Data);
+  # A body beyond the size limit of a message comes in parts, in order; the last one is answered.
+  control @4 (kind :Text, body :Data, message :UInt64, partsLeft :UInt32) -> (body :Data);
 }
--- a/turmericreach/rpc/messages.py
+++ b/turmericreach/rpc/messages.py
@@ -10,6 +10,9 @@
 __all__ = ["PROTOCOL_VERSION", "Attempt", "Hello", "inner"]
 
 PROTOCOL_VERSION = 1
+# pycapnp refuses messages over 64 MiB; a lot of that size is larger still in its JSON encoding.
+PART_BYTES = 32 * 1024 * 1024
+MAX_CONTROL_BYTES = 512 * 1024 * 1024
 
 SCHEMA_PATH = Path(__file__).with_name("inner.capnp")
 # The compiler finds the standard schema stream.capnp in pycapnp's own folder.
--- a/turmericreach/rpc/server.py
+++ b/turmericreach/rpc/server.py
@@ -57,6 +57,7 @@
 
     def __init__(self, handler):
         self.handler = handler
+        self.parts: dict[int, bytearray] = {}
 
     async def hello(self, hello, **kwargs):
         """Exchange identities."""
@@ -76,9 +77,19 @@
         """Cancel an attempt."""
         await self.handler.cancel(attemptId)
 
-    async def control(self, kind, body, **kwargs):
-        """Answer a control message."""
-        return await self.handler.control(kind, bytes(body))
+    async def control(self, kind, body, message, partsLeft, **kwargs):  # noqa: N803
+        """Answer a control message when its last part has come."""
+        if not partsLeft and message not in self.parts:
+            return await self.handler.control(kind, bytes(body))
+        whole = self.parts.setdefault(message, bytearray())
+        held = sum(len(part) for part in self.parts.values())
+        if held + len(body) > messages.MAX_CONTROL_BYTES:
+            del self.parts[message]
+            raise ValueError("control message too large")
+        whole.extend(body)
+        if partsLeft:
+            return b""
+        return await self.handler.control(kind, bytes(self.parts.pop(message)))
 
 
 class PeerServer:
