Fix lots, drains and reports under frozen peers and graceful stops

Cause: each report round waited for its slowest peer, so a frozen relay delayed the reports to the other relay beyond the 3 s of suspicion. A pull forwarded to a frozen coordinator waited up to 25 s. A gateway that left reopened lots that late calls asked for, told the trainer of the last lots that they were cancelled, and handed cancelled lots on, which started them again. An unexpected error of a rollout left its sample waiting for its deadline, and one of a step ended the lot's loop. Lots with a deadline over an hour were accepted, although agents refuse such attempts. Attempts that waited at a drained target started there later. A target that moved to another address kept its old convergence loop. A pull answer could exceed the size limit of a message. Change: exchanges run apart; forwarded calls follow the duty; hand-overs carry the cancellation; drains refuse what waits; deadlines and answers are bounded.

--- /dev/null
+++ b/tests/daemon/test_hosted.py
@@ -0,0 +1,96 @@
+"""Guards an agent's attempts against drains and faults of its own."""
+
+import asyncio
+
+import pytest
+
+from tests.builders.attempts import make_attempt
+from turmericreach.attempts import AttemptState, AttemptTable
+from turmericreach.daemon.agent import AttemptServer
+from turmericreach.daemon.hosted import HostedTarget
+from turmericreach.manifest import (
+    DataCentre,
+    Manifest,
+    ServiceKind,
+    ServiceSpec,
+    TargetSpec,
+)
+from turmericreach.verdicts import ErrorCode, Outcome, Verdict
+
+pytestmark = pytest.mark.looptime
+
+
+class SlowAdapter:
+    """A target that answers after two seconds."""
+
+    async def run(self, call, writer):
+        await asyncio.sleep(2.0)
+        return Outcome(Verdict.ANSWERED, status=200), False
+
+
+def make_server():
+    service = ServiceSpec("orders", ServiceKind.PLAIN)
+    spec = TargetSpec("t1", "orders", "a", "http://10.0.0.1", "10.0.0.1:7400", 1)
+    manifest = Manifest(1, "d", [DataCentre("a")], [service], [spec])
+    server = AttemptServer(AttemptTable("a", 1))
+    target = HostedTarget(spec, service, manifest, server.table, None, None, 0.0)
+    target.adapter = SlowAdapter()
+    server.targets["t1"] = target
+    return server, target
+
+
+async def submit_two(server):
+    tasks = []
+    for number in (1, 2):
+        attempt = make_attempt(attempt_id=f"a{number}", deadline_ms=1_000_000)
+        tasks.append(asyncio.ensure_future(server.submit(attempt, None)))
+        await asyncio.sleep(0.1)
+    return tasks
+
+
+async def test_a_drain_refuses_what_waits_and_lets_end_what_runs():
+    server, target = make_server()
+    running, waiting = await submit_two(server)
+    target.set_drained(True)
+    refused = await waiting
+    assert (refused.verdict, refused.code) == (Verdict.NOT_RUN, ErrorCode.LEAVING)
+    assert (await running).verdict is Verdict.ANSWERED
+    target.set_drained(False)
+    again = make_attempt(attempt_id="a3", deadline_ms=1_000_000)
+    assert (await server.submit(again, None)).verdict is Verdict.ANSWERED
+
+
+async def test_a_leaving_agent_lets_end_what_runs():
+    server, _ = make_server()
+    running, waiting = await submit_two(server)
+    server.start_leaving()
+    assert (await waiting).code == ErrorCode.LEAVING
+    assert await server.wait_until_idle(10.0) == 0
+    assert (await running).verdict is Verdict.ANSWERED
+    late = await server.submit(make_attempt(attempt_id="a3", deadline_ms=1_000_000), None)
+    assert (late.verdict, late.code) == (Verdict.NOT_RUN, ErrorCode.LEAVING)
+
+
+async def test_a_settlement_takes_an_attempt_out_of_the_queue():
+    server, _ = make_server()
+    running, waiting = await submit_two(server)
+    assert (await server.settle("a2", 1, 1_000_000, 0.0)).verdict is Verdict.NOT_RUN
+    assert (await waiting).verdict is Verdict.NOT_RUN
+    assert (await running).verdict is Verdict.ANSWERED
+
+
+async def test_an_attempt_that_fails_before_its_start_is_not_left_in_the_queue():
+    server, _ = make_server()
+    attempt = make_attempt(priority="unheard-of", deadline_ms=1_000_000)
+    outcome = await server.submit(attempt, None)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert server.table.entries["a1"].state is AttemptState.REVOKED
+
+
+async def test_a_gateway_that_disconnects_does_not_stop_an_order():
+    server, _ = make_server()
+    task = asyncio.ensure_future(server.submit(make_attempt(), None))
+    await asyncio.sleep(0.5)
+    task.cancel()
+    outcome = await server.settle("a1", 1, 10_000, 5.0)
+    assert outcome.verdict is Verdict.ANSWERED
--- /dev/null
+++ b/tests/daemon/test_lots.py
@@ -0,0 +1,226 @@
+"""Guards lots against frozen coordinators, hand-overs, cancellation and a graceful stop."""
+
+import asyncio
+import types
+
+import msgspec
+import pytest
+
+from tests.builders.lots import engines, finish, make_spec
+from tests.builders.objectstore import MemoryObjectStore
+from turmericreach.api import PullRequest
+from turmericreach.daemon.lot_answers import MAX_ANSWER_BYTES, limit_answer
+from turmericreach.daemon.lot_calls import LotCall, LotOperation
+from turmericreach.daemon.lot_runner import LotContext
+from turmericreach.daemon.lot_service import LotService, decode_body
+from turmericreach.lots import Cursor, PullResult, encode_lot
+from turmericreach.manifest.schema import Policy
+from turmericreach.rpc import PeerTimeout
+from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
+
+pytestmark = pytest.mark.looptime
+
+SPEC = make_spec(scoring_service="")
+
+
+class Members:
+    """A view of the live gateways that a test changes."""
+
+    def __init__(self, *names):
+        self.names = list(names)
+        self.records = {name: types.SimpleNamespace(address=name) for name in names}
+
+    def gateways(self, now):
+        return self.names
+
+
+class Peer:
+    """A connection to another lot service, or to one that is frozen."""
+
+    def __init__(self, service):
+        self.service = service
+
+    async def control(self, kind, body, timeout_s):
+        if self.service is None:
+            await asyncio.sleep(timeout_s)
+            raise PeerTimeout("frozen")
+        return await self.service.answer_peer(body)
+
+
+class Gateways:
+    """Lot services that reach each other; their rollouts never end by themselves."""
+
+    def __init__(self, *names):
+        self.store = MemoryObjectStore()
+        self.views = {name: Members(*names) for name in names}
+        self.services = {name: self.make(name) for name in names}
+        self.frozen = set()
+
+    def make(self, name):
+        node = types.SimpleNamespace(
+            name=name,
+            members=self.views[name],
+            now=asyncio.get_running_loop().time,
+            settings=types.SimpleNamespace(limits=types.SimpleNamespace(max_lot_bytes=1 << 26)),
+            manifest=types.SimpleNamespace(
+                policy=Policy(),
+                trainers=[types.SimpleNamespace(name="fitting", max_open_lots=5)],
+            ),
+            services={"assistant": types.SimpleNamespace(model="assistant")},
+            store=self.store,
+            peers=types.SimpleNamespace(get=self.get),
+            decide=lambda *args: None,
+        )
+        return LotService(node, lambda spec: self.context())
+
+    def context(self):
+        async def run(request, on_sent=None):
+            self.requests = [*getattr(self, "requests", []), request]
+            return await self.roll_out()
+
+        runner = types.SimpleNamespace(run=run)
+        view = engines(("e1", 1, 4, 10.0))
+        return LotContext(runner, lambda service, held: view, lambda model: 1, lambda target: 1)
+
+    async def roll_out(self):
+        await asyncio.Event().wait()
+
+    async def get(self, name):
+        return Peer(None if name in self.frozen else self.services[name])
+
+    async def end(self):
+        for service in self.services.values():
+            for runner in service.runners.values():
+                await runner.stop()
+
+
+def declare():
+    return LotCall(LotOperation.DECLARE, SPEC.name, encode_lot(SPEC))
+
+
+def pull(wait=0.0):
+    body = msgspec.json.encode(PullRequest(Cursor(SPEC.size).encode(), 1, 9, 0.0, False))
+    return LotCall(LotOperation.PULL, SPEC.name, body, wait)
+
+
+def roles(gateways):
+    """Return the services of the coordinator and of the other gateway."""
+    first = next(iter(gateways.services.values()))
+    holder = first.coordinator_of(SPEC.name)
+    other = next(name for name in gateways.services if name != holder)
+    return gateways.services[holder], gateways.services[other]
+
+
+async def test_a_pull_forwarded_to_a_frozen_coordinator_moves_with_the_duty():
+    gateways = Gateways("g1", "g2")
+    holder, other = roles(gateways)
+    await other.call(declare())
+    gateways.frozen.add(holder.node.name)
+    start = asyncio.get_running_loop().time()
+    asyncio.get_running_loop().call_later(
+        3.0, gateways.views[other.node.name].names.remove, holder.node.name
+    )
+    await other.call(pull(wait=10.0))
+    assert asyncio.get_running_loop().time() - start < 14.0
+    assert SPEC.name in other.runners
+    await gateways.end()
+
+
+async def test_finished_samples_move_with_the_duty():
+    gateways = Gateways("g1", "g2")
+    holder, other = roles(gateways)
+    await holder.call(declare())
+    coordinator = holder.runners[SPEC.name].coordinator
+    for task in coordinator.next_tasks(0.0, 1, 4, engines(("e1", 1, 4, 10.0))):
+        finish(coordinator, task)
+    done = coordinator.progress().counts["ready"]
+    assert done > 0
+    await holder.leave()
+    assert other.runners[SPEC.name].coordinator.progress().counts["ready"] == done
+    await gateways.end()
+
+
+async def test_a_leaving_gateway_opens_no_lot():
+    gateways = Gateways("g1", "g2")
+    holder, other = roles(gateways)
+    await holder.call(declare())
+    await holder.leave()
+    with pytest.raises(RequestError) as refusal:
+        await holder.answer(pull())
+    assert refusal.value.code == ErrorCode.LEAVING
+    assert holder.runners == {}
+    await gateways.end()
+
+
+async def test_the_last_gateway_that_leaves_does_not_tell_the_trainer_that_its_lot_ended():
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    await service.call(declare())
+    waiting = asyncio.ensure_future(service.call(pull(wait=20.0)))
+    await asyncio.sleep(0.1)
+    await service.leave()
+    with pytest.raises(RequestError) as refusal:
+        await waiting
+    assert (refusal.value.code, refusal.value.status) == (ErrorCode.LEAVING, 503)
+
+
+async def test_a_cancelled_lot_does_not_start_again_when_its_duty_moves():
+    gateways = Gateways("g1", "g2")
+    holder, other = roles(gateways)
+    await holder.call(declare())
+    await holder.call(LotCall(LotOperation.CANCEL, SPEC.name))
+    gateways.requests = []
+    await holder.leave()
+    await asyncio.sleep(5.0)
+    assert gateways.requests == []
+    gateways.views[other.node.name].names.remove(holder.node.name)
+    with pytest.raises(RequestError) as refusal:
+        await other.call(pull())
+    assert refusal.value.code == ErrorCode.CANCELLED
+
+
+async def test_an_unexpected_error_of_a_rollout_is_a_failure_and_not_a_lost_sample():
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    failures = 0
+
+    async def fail_twice():
+        nonlocal failures
+        failures += 1
+        if failures <= 2:
+            raise KeyError("unexpected")
+        await asyncio.sleep(1.0)
+        return Outcome(Verdict.MAY_HAVE_RUN)
+
+    gateways.roll_out = fail_twice
+    await service.call(declare())
+    await asyncio.sleep(30.0)
+    assert failures > SPEC.size
+    await gateways.end()
+
+
+@pytest.mark.parametrize(("deadline_s", "accepted"), [(3000.0, True), (7200.0, False)])
+async def test_a_lot_whose_deadline_agents_refuse_is_refused_at_once(deadline_s, accepted):
+    gateways = Gateways("g1")
+    spec = make_spec(scoring_service="", deadline_s=deadline_s)
+    call = LotCall(LotOperation.DECLARE, spec.name, encode_lot(spec))
+    if accepted:
+        await gateways.services["g1"].call(call)
+        await gateways.end()
+        return
+    with pytest.raises(RequestError):
+        await gateways.services["g1"].call(call)
+
+
+@pytest.mark.parametrize(("whole", "count"), [(False, 5), (True, 8)])
+async def test_a_pull_answer_stays_under_the_message_limit(whole, count):
+    text = "x" * (MAX_ANSWER_BYTES // 5)
+    samples = [types.SimpleNamespace(text=text, group=number // 4) for number in range(12)]
+    answer = limit_answer(PullResult(samples, 0, False, 1), whole)
+    assert len(answer.samples) == count
+    assert answer.remaining == 12 - len(answer.samples)
+
+
+def test_a_malformed_body_is_refused():
+    with pytest.raises(RequestError):
+        decode_body(b"\xff", LotCall)
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -109,6 +109,9 @@
             if hosted is not None and hosted.spec.url == spec.url:
                 hosted.configure(spec, service, self.node.manifest, now)
                 continue
+            if hosted is not None:
+                # Another back end: its attempts and its convergence end with the old one.
+                self.remove_target(name)
             self.add_target(spec, service, now)
         for name in list(self.attempts.targets.keys() - wanted.keys()):
             self.remove_target(name)
@@ -215,7 +218,7 @@
         hosted = self.attempts.targets.get(message.target)
         if hosted is None or hosted.drained == message.drain:
             return
-        hosted.drained = message.drain
+        hosted.set_drained(message.drain)
         if message.drain:
             log_event(events.TARGET_LEAVING, target=message.target, reason="drained")
         self.publish()
--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from turmericreach.config import Accepted, Contradiction, Revision, Source
+from turmericreach.daemon.exchanges import Exchanges
 from turmericreach.daemon.node import Node
 from turmericreach.daemon.revisions import decode_for_state, manifest_of
 from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME, ManifestError
@@ -68,6 +69,7 @@
         self.platform_up: bool | None = None
         self.platform_down_at = node.started_at
         self.report_now = asyncio.Event()
+        self.exchanges = Exchanges()
 
     def start(self) -> None:
         """Start all loops."""
@@ -83,9 +85,10 @@
 
     async def stop(self) -> None:
         """Stop all loops."""
-        for task in self.tasks:
+        tasks = [*self.tasks, *self.exchanges.running.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def supervise(self, loop) -> None:
         """Run a loop and start it again after an unexpected error."""
@@ -112,7 +115,8 @@
             relays = self.node.members.relays(self.node.settings.data_centre, now)
             addresses = [item.address for item in relays if item.name != self.node.name]
             addresses += self.bootstrap_addresses(now)
-            await asyncio.gather(*(self.report_to(address) for address in addresses))
+            for address in addresses:
+                self.exchanges.begin(f"report {address}", self.report_to, address)
             pause_s = REPORT_INTERVAL_S * (1 + self.rng.uniform(-JITTER, JITTER))
             try:
                 async with asyncio.timeout(pause_s):
@@ -186,7 +190,8 @@
             peers: list[MemberRecord] = []
             for place in sorted(places - {own}):
                 peers += self.node.members.relays(place, now)
-            await asyncio.gather(*(self.digest_to(peer) for peer in peers))
+            for peer in peers:
+                self.exchanges.begin(f"digest {peer.name}", self.digest_to, peer)
 
     async def digest_to(self, peer: MemberRecord) -> None:
         """Send a digest to a relay of another data centre."""
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -39,6 +39,8 @@
 # stops sending requests here first.
 LEAVE_DELAY_S = 2.0
 AUDIT_DRAIN_S = 3.0
+# The last report leaves before the connections close.
+REPORT_DELAY_S = 0.1
 
 
 class GatewayDaemon:
@@ -99,7 +101,7 @@
         await self.audit.drain(AUDIT_DRAIN_S)
         self.node.members.set_own(self.node.now(), state="stopped")
         self.fleet.report_now.set()
-        await asyncio.sleep(0)
+        await asyncio.sleep(REPORT_DELAY_S)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -81,6 +81,20 @@
         self.wake(self.admission.configure(service, manifest.policy, shares, now))
         self.window.resize(spec.slots)
         self.wake(self.admission.resize(spec.slots, now))
+        self.give_up_if_drained()
+
+    def set_drained(self, drained: bool) -> None:
+        """Start or lift a drain; attempts that wait are refused, running ones go on."""
+        self.drained = drained
+        self.give_up_if_drained()
+
+    def give_up_if_drained(self) -> None:
+        """Refuse the attempts that wait at a drained target, since they would start later."""
+        if not self.drained and not self.spec.drain:
+            return
+        for ticket_id in list(self.waiting):
+            if self.admission.withdraw(ticket_id):
+                self.give_up(ticket_id, ErrorCode.LEAVING, "the target is drained")
 
     def steer(self, now: float, wall: datetime.datetime) -> None:
         """Apply site hours and ordinary latency to the limits; called once a second."""
--- a/turmericreach/daemon/lot_runner.py
+++ b/turmericreach/daemon/lot_runner.py
@@ -105,7 +105,12 @@
         checked_at = self.now()
         while True:
             self.changed.clear()
-            self.step()
+            try:
+                self.step()
+            except Exception as error:  # noqa: BLE001 - a fault of one step must not end the lot
+                log_event(
+                    events.INTERNAL_ERROR, error=f"{type(error).__name__}: {error}", where="lot"
+                )
             if self.now() - checked_at >= HOPELESS_INTERVAL_S:
                 checked_at = self.now()
                 version = self.context.wanted_version(self.spec.model)
@@ -130,8 +135,8 @@
 
     async def roll_out(self, task: SampleTask) -> None:
         """Run one rollout and report its end to the coordinator."""
-        outcome = await self.context.runner.run(
-            self.rollout_request(task), on_sent=lambda sent: self.note_start(task.task_id, sent)
+        outcome = await self.run_request(
+            self.rollout_request(task), lambda sent: self.note_start(task.task_id, sent)
         )
         now = self.now()
         result = read_result(outcome)
@@ -144,6 +149,15 @@
         self.apply(actions)
         self.notify()
 
+    async def run_request(self, request: CallerRequest, on_sent=None) -> Outcome:
+        """Run a request; an unexpected error counts as an unknown outcome, so that it is seen."""
+        try:
+            return await self.context.runner.run(request, on_sent=on_sent)
+        except Exception as error:  # noqa: BLE001 - otherwise the sample waits for its deadline
+            text = f"{type(error).__name__}: {error}"
+            log_event(events.INTERNAL_ERROR, error=text, where=request.request_id)
+            return Outcome(Verdict.MAY_HAVE_RUN, code=ErrorCode.INTERNAL, evidence=text)
+
     def note_start(self, task_id: str, sent: SentAttempt) -> None:
         """Tell the coordinator where a rollout really runs."""
         version = self.context.target_version(sent.target)
@@ -201,7 +215,7 @@
         pause_s = action.not_before - self.now()
         if pause_s > 0:
             await asyncio.sleep(pause_s)
-        outcome = await self.context.runner.run(self.scoring_request(action))
+        outcome = await self.run_request(self.scoring_request(action))
         value = read_score(outcome)
         if value is None:
             verdict = outcome.verdict
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -11,7 +11,10 @@
     PullAnswer,
     PullRequest,
 )
+from turmericreach.attempts import MAX_DEADLINE_S
+from turmericreach.daemon.lot_answers import limit_answer
 from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
+from turmericreach.daemon.lot_duties import LOT, LotDuties
 from turmericreach.daemon.lot_runner import LotRunner
 from turmericreach.daemon.lot_store import LotStore
 from turmericreach.daemon.node import Node
@@ -25,25 +28,27 @@
     is_redeclaration,
 )
 from turmericreach.objectstore import ObjectStoreError
-from turmericreach.ownership import lot_duty, owner
 from turmericreach.rpc import PeerError
 from turmericreach.telemetry import events, log_event
 from turmericreach.verdicts import ErrorCode, RequestError, Verdict
 
 __all__ = ["LOT", "LotService"]
 
-LOT = "lot"
 HOUSEKEEPING_S = 1.0
-FORWARD_MARGIN_S = 5.0
-DECLARE_TIMEOUT_S = 60.0
-CALL_TIMEOUT_S = 10.0
+# Agents refuse deadlines beyond their limit; the margin covers the way there.
+DEADLINE_MARGIN_S = 60.0
 HAND_OVER_TIMEOUT_S = 20.0
 MAX_PULL_WAIT_S = 60.0
 # A lot that nobody pulls from stops using engines; its next pull starts it again.
 IDLE_S = 600.0
 
 
-class LotService:
+SERVED_BY_SUCCESSOR = frozenset(
+    [LotOperation.DECLARE, LotOperation.PULL, LotOperation.ACK, LotOperation.TAKE_OVER]
+)
+
+
+class LotService(LotDuties):
     """Answers lot calls, here or at the lot's coordinator.
 
     Parameters
@@ -54,31 +59,36 @@
     """
 
     def __init__(self, node: Node, context_of):
-        self.node = node
+        super().__init__(node)
         self.context_of = context_of
         self.runners: dict[str, LotRunner] = {}
         self.opening: dict[str, asyncio.Lock] = {}
         self.store = LotStore(node.store)
-        self.limits = LotLimits(max_bytes=node.settings.limits.max_lot_bytes)
-        self.leaving = False
+        self.limits = LotLimits(
+            max_bytes=node.settings.limits.max_lot_bytes,
+            max_deadline_s=MAX_DEADLINE_S - DEADLINE_MARGIN_S,
+        )
 
     # Entry points
 
     async def call(self, call: LotCall) -> LotReply:
         """Answer a call at the lot's coordinator, wherever that is."""
-        holder = self.coordinator_of(call.lot)
-        if holder is None or holder == self.node.name:
-            return await self.answer(call)
-        try:
-            return await self.forward(holder, call)
-        except PeerError as error:
-            raise RequestError(
-                ErrorCode.NOT_READY,
-                f"coordinator {holder} of lot {call.lot} cannot be reached: {error}",
-                503,
-                Verdict.MAY_HAVE_RUN,
-                1.0,
-            ) from error
+        while True:
+            holder = self.coordinator_of(call.lot)
+            if holder is None or holder == self.node.name:
+                return await self.answer(call)
+            try:
+                reply = await self.forward_while_held(holder, call)
+            except PeerError as error:
+                raise RequestError(
+                    ErrorCode.NOT_READY,
+                    f"coordinator {holder} of lot {call.lot} cannot be reached: {error}",
+                    503,
+                    Verdict.MAY_HAVE_RUN,
+                    1.0,
+                ) from error
+            if reply is not None:
+                return reply
 
     async def answer_peer(self, body: bytes) -> bytes:
         """Answer a call that another gateway forwarded."""
@@ -88,25 +98,6 @@
             reply = LotReply.from_error(error)
         return msgspec.json.encode(reply)
 
-    def coordinator_of(self, lot: str) -> str | None:
-        """Return the gateway that coordinates a lot in this daemon's view."""
-        gateways = self.node.members.gateways(self.node.now())
-        if self.leaving:
-            gateways = [name for name in gateways if name != self.node.name]
-        return owner(lot_duty(lot), gateways)
-
-    async def forward(self, holder: str, call: LotCall) -> LotReply:
-        """Send a call to the coordinator."""
-        address = self.node.members.records[holder].address
-        timeout_s = CALL_TIMEOUT_S + call.wait_s() + FORWARD_MARGIN_S
-        if call.operation is LotOperation.DECLARE:
-            timeout_s = DECLARE_TIMEOUT_S
-        client = await self.node.peers.get(address)
-        body = await client.control(LOT, msgspec.json.encode(call), timeout_s)
-        reply = msgspec.json.decode(body, type=LotReply)
-        reply.raise_error()
-        return reply
-
     async def answer(self, call: LotCall) -> LotReply:
         """Answer a call here.
 
@@ -123,6 +114,11 @@
             LotOperation.LIST: self.list_local,
             LotOperation.TAKE_OVER: self.take_over,
         }
+        if self.leaving and self.has_successor() and call.operation in SERVED_BY_SUCCESSOR:
+            # A lot opened here now would end with this process.
+            raise RequestError(
+                ErrorCode.LEAVING, f"gateway {self.node.name} is leaving", 503, retry_after_s=0.2
+            )
         return LotReply(body=await handlers[call.operation](call))
 
     # Operations at the coordinator
@@ -248,6 +244,7 @@
             call.wait_s(),
             request.whole_groups,
         )
+        result = limit_answer(result, request.whole_groups)
         self.trace_hand_over(runner, result)
         answer = PullAnswer(result.samples, result.remaining, result.done, result.trainer_version)
         return msgspec.json.encode(answer)
@@ -323,6 +320,9 @@
         check_lot(spec, self.limits)
         async with self.lock(spec.name):
             runner = self.runners.get(spec.name) or self.open(spec, Cursor(spec.size))
+        if call.cancelled:
+            await runner.stop()
+            return b"{}"
         runner.apply(runner.coordinator.take_over(call.body, self.node.now()))
         if call.pending:
             self.store.pending.setdefault(spec.name, spec)
@@ -348,14 +348,20 @@
 
     async def hand_over(self, name: str, runner: LotRunner, holder: str) -> None:
         """Pass one lot on; if the next coordinator cannot take it, the samples are made again."""
+        address = self.node.members.records[holder].address
         self.runners.pop(name, None)
+        cancelled = runner.coordinator.state.stopped is ErrorCode.CANCELLED
         body = runner.coordinator.hand_over()
         await runner.stop()
         pending = self.store.pending.pop(name, None) is not None
         call = LotCall(
-            LotOperation.TAKE_OVER, name, body, spec=encode_lot(runner.spec), pending=pending
+            LotOperation.TAKE_OVER,
+            name,
+            body,
+            spec=encode_lot(runner.spec),
+            pending=pending,
+            cancelled=cancelled,
         )
-        address = self.node.members.records[holder].address
         try:
             client = await self.node.peers.get(address)
             await client.control(LOT, msgspec.json.encode(call), HAND_OVER_TIMEOUT_S)
@@ -376,6 +382,8 @@
         await self.store.flush(self.runners)
         await self.pass_on_moved()
         for runner in self.runners.values():
+            # The lot does not end here: its trainer asks another gateway, or this one's successor.
+            runner.coordinator.hand_over()
             await runner.stop()
 
 
