--- a/turmericreach/audit/log.py
+++ b/turmericreach/audit/log.py
@@ -54,6 +54,8 @@
         Records that may wait.
     clock : callable
         Returns Unix time in seconds, for gap records.
+    on_lost : callable, optional
+        Takes the number of records that were lost.
     """
 
     def __init__(
@@ -63,12 +65,14 @@
         daemon: str,
         capacity: int = CAPACITY,
         clock: Callable[[], float] = time.time,
+        on_lost: Callable[[int], None] | None = None,
     ):
         self.store = store
         self.data_centre = data_centre
         self.daemon = daemon
         self.capacity = capacity
         self.clock = clock
+        self.on_lost = on_lost
         self.prefix = f"{daemon}-{uuid.uuid4().hex[:12]}"
         self.last_number = 0
         self.pending: OrderedDict[str, AuditRecord] = OrderedDict()
@@ -169,6 +173,8 @@
         if reason not in self.lost:
             log_event(events.AUDIT_GAP, lost=count, reason=reason)
         self.lost[reason] = self.lost.get(reason, 0) + count
+        if self.on_lost is not None:
+            self.on_lost(count)
 
     def add_gaps(self) -> None:
         """Put gap records into the buffer when there is room."""
--- /dev/null
+++ b/turmericreach/cli/decisions.py
@@ -0,0 +1,129 @@
+"""Commands that show what was decided and changed: `explain` and `audit`."""
+
+import datetime
+import re
+import time
+from typing import Annotated
+
+import attrs
+import msgspec
+from cyclopts import Parameter
+
+from turmericreach.audit import AuditRecord, read_audit
+from turmericreach.cli.options import Api, ExitCode, Output, Platform, command
+from turmericreach.cli.output import format_time, note, show, table
+from turmericreach.client import ApiError, OperatorClient
+from turmericreach.objectstore import ObjectStoreError
+
+__all__ = ["audit", "explain", "parse_since"]
+
+UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+@command
+async def explain(
+    subject: Annotated[str, Parameter(help="Request, attempt or sample (lot/group/index).")],
+    *,
+    output: Output = Output.TABLE,
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """Show which daemon decided what, when and on which evidence, attempt by attempt."""
+    async with api.connect() as connection:
+        rows = await OperatorClient(connection).explain(subject)
+    if not any(row["request_id"] for row in rows):
+        note(f"no live daemon remembers {subject}; each keeps its last 4096 requests")
+    parts = [attempt_table(key, group) for key, group in by_attempt(rows).items()]
+    show(output, rows, *parts)
+    return ExitCode.OK
+
+
+def by_attempt(rows: list[dict]) -> dict[tuple[str, str], list[dict]]:
+    """Return the decisions by request and attempt, in the order of their first decision."""
+    groups: dict[tuple[str, str], list[dict]] = {}
+    for row in rows:
+        groups.setdefault((row["request_id"], row["attempt_id"]), []).append(row)
+    return groups
+
+
+def attempt_table(key: tuple[str, str], rows: list[dict]):
+    """Return the table of one attempt."""
+    request_id, attempt_id = key
+    title = f"request {request_id}" if request_id else "daemons that did not answer"
+    if attempt_id:
+        title += f", attempt {attempt_id}"
+    cells = [(format_time(row["at"]), row["daemon"], row["what"], row["evidence"]) for row in rows]
+    return table(["time", "daemon", "decision", "evidence"], cells, title)
+
+
+@command
+async def audit(
+    *,
+    since: Annotated[str, Parameter(help="ISO time, or an age such as 30m, 2h or 7d.")] = "",
+    subject: Annotated[str, Parameter(help="Only subjects that start with this.")] = "",
+    actor: Annotated[str, Parameter(help="Only changes by this actor.")] = "",
+    output: Output = Output.TABLE,
+    platform: Platform = Platform(),  # noqa: B008 - cyclopts reads the default
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """Show who changed what.
+
+    While the platform is down, it shows the records that the gateways still hold.
+    """
+    after = parse_since(since, time.time())
+    code = ExitCode.OK
+    store = platform.open()
+    try:
+        records = await read_audit(store)
+    except ObjectStoreError as error:
+        note(f"the platform does not answer: {error}; these are the records not yet written")
+        code = ExitCode.UNAVAILABLE
+        records = await unwritten(api)
+    finally:
+        await store.close()
+    chosen = [item for item in records if matches(item, after, subject, actor)]
+    rows = [attrs.asdict(item) for item in chosen]
+    columns = ["time", "actor", "action", "subject", "before", "after", "generation", "daemon"]
+    cells = [[format_time(row["at"]), *(row[name] for name in columns[1:])] for row in rows]
+    show(output, rows, table(columns, cells))
+    return code
+
+
+async def unwritten(api: Api) -> list[AuditRecord]:
+    """Return the records that the gateways could not write yet."""
+    async with api.connect() as connection:
+        try:
+            rows = await OperatorClient(connection).unwritten_audit()
+        except ApiError as error:
+            note(str(error))
+            return []
+    return [msgspec.convert(row, AuditRecord) for row in rows]
+
+
+def matches(record: AuditRecord, after: float, subject: str, actor: str) -> bool:
+    """Return whether a record is wanted; a gap is always shown, since it may hide wanted ones."""
+    if record.at < after and record.at:
+        return False
+    if record.action == "gap":
+        return True
+    return record.subject.startswith(subject) and actor in ("", record.actor)
+
+
+def parse_since(text: str, now: float) -> float:
+    """Return Unix time of an ISO time or of an age; 0 for an empty text.
+
+    Raises
+    ------
+    ValueError
+    """
+    if not text:
+        return 0.0
+    age = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", text)
+    if age:
+        return now - float(age[1]) * UNIT_SECONDS[age[2]]
+    try:
+        at = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        raise ValueError(f"--since {text!r} is neither an ISO time nor an age such as 2h") from None
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=datetime.UTC)
+    return at.timestamp()
--- a/turmericreach/cli/lots.py
+++ b/turmericreach/cli/lots.py
@@ -9,11 +9,13 @@
 import msgspec
 from cyclopts import Parameter
 
-from turmericreach.cli.options import Api, ExitCode, command
-from turmericreach.client import LotRun, TrainerClient
+from turmericreach.api import LotStatus
+from turmericreach.cli.options import Api, ExitCode, Output, command
+from turmericreach.cli.output import show, table
+from turmericreach.client import LotRun, OperatorClient, TrainerClient
 from turmericreach.lots import Cursor, GroupSpec, LotSpec
 
-__all__ = ["app"]
+__all__ = ["app", "lots"]
 
 app = cyclopts.App(name="lot", help="Run and inspect lots.")
 
@@ -117,9 +119,63 @@
 
 @app.command
 @command
-async def cancel(name: str, *, api: Api = Api()) -> int:  # noqa: B008 - cyclopts reads the default
+async def status(
+    name: str,
+    *,
+    output: Output = Output.TABLE,
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """Show the samples of a lot by state, and what was thrown away."""
+    async with api.connect() as connection:
+        lot = await OperatorClient(connection).lot(name)
+    rows = [
+        ("trainer", lot.trainer),
+        ("coordinator", lot.coordinator),
+        ("durable", lot.durable),
+        ("samples", lot.samples),
+        *((f"samples {state}", count) for state, count in lot.counts.items()),
+        *((f"discarded: {reason}", count) for reason, count in lot.discarded.items()),
+        ("straggler copies", lot.stragglers),
+        ("tokens used", lot.tokens_useful),
+        ("tokens thrown away", lot.tokens_thrown_away),
+    ]
+    show(output, lot, table([f"lot {lot.lot}", ""], rows))
+    return ExitCode.OK
+
+
+@app.command
+@command
+async def cancel(
+    name: str,
+    *,
+    output: Output = Output.TABLE,
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
     """End a lot."""
     async with api.connect() as connection:
-        await TrainerClient(connection).cancel(name)
-    print(f"lot {name} cancelled")
+        await OperatorClient(connection).cancel_lot(name)
+    show(output, {"lot": name, "cancelled": True}, f"lot {name} cancelled")
+    return ExitCode.OK
+
+
+@command
+async def lots(
+    *,
+    output: Output = Output.TABLE,
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """List the lots that the live gateways coordinate."""
+    async with api.connect() as connection:
+        found = await OperatorClient(connection).lots()
+    columns = ["lot", "trainer", "coordinator", "samples", "by state", "thrown away", "durable"]
+    show(output, found, table(columns, [lot_cells(lot) for lot in found]))
     return ExitCode.OK
+
+
+def lot_cells(lot: LotStatus) -> list:
+    """Return the cells of one lot; thrown away is the share of its tokens."""
+    states = ", ".join(f"{count} {state}" for state, count in lot.counts.items() if count)
+    tokens = lot.tokens_useful + lot.tokens_thrown_away
+    share = lot.tokens_thrown_away / tokens if tokens else 0.0
+    wasted = f"{share:.1%}"
+    return [lot.lot, lot.trainer, lot.coordinator, lot.samples, states, wasted, lot.durable]
--- a/turmericreach/cli/manifests.py
+++ b/turmericreach/cli/manifests.py
@@ -1,106 +1,234 @@
 """Commands for the manifest."""
 
 import asyncio
+import contextlib
 import getpass
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Annotated
 
+import attrs
 import cyclopts
 import msgspec
 from cyclopts import Parameter
 
-from turmericreach.cli.options import Api, ExitCode, Platform, command
+from turmericreach.cli.confirmation import wait_until_in_force
+from turmericreach.cli.options import Api, ExitCode, Output, Platform, command
+from turmericreach.cli.output import format_time, note, show, show_json, table
 from turmericreach.client import ApiError, OperatorClient
 from turmericreach.manifest import (
+    Change,
+    GenerationConflict,
+    Manifest,
+    Revision,
     apply_manifest,
+    decode_revision,
+    diff_manifests,
     load_manifest,
     manifest_schema,
+    read_history,
     read_revision,
     record_revision,
 )
-from turmericreach.objectstore import ObjectStoreError
+from turmericreach.objectstore import HttpObjectStore, ObjectStoreError
 
 __all__ = ["app"]
 
-WAIT_POLL_S = 0.2
+# With --any-generation, further changes may come between the reading and the write.
+ANY_GENERATION_TRIES = 5
 
 app = cyclopts.App(name="manifest", help="Check, compare and apply the manifest.")
 
 
-def read_manifest(path: Path):
+def read_manifest(path: Path) -> Manifest:
     """Return the manifest of a file."""
     return load_manifest(path.read_text(), str(path))
 
 
+@contextlib.asynccontextmanager
+async def opened(platform: Platform) -> AsyncIterator[HttpObjectStore]:
+    """Open the object API and close it afterwards."""
+    store = platform.open()
+    try:
+        yield store
+    finally:
+        await store.close()
+
+
 @app.command
 def schema() -> int:
     """Print the JSON Schema of the manifest."""
-    print(msgspec.json.format(msgspec.json.encode(manifest_schema()), indent=2).decode())
+    show_json(manifest_schema())
     return ExitCode.OK
 
 
 @app.command
 @command
-async def check(file: Path) -> int:
+async def check(file: Path, *, output: Output = Output.TABLE) -> int:
     """Check a manifest and print every problem with its line."""
     manifest = read_manifest(file)
-    print(f"{file}: ok, {len(manifest.services)} services, {len(manifest.targets)} targets")
+    counts = {
+        "file": str(file),
+        "services": len(manifest.services),
+        "targets": len(manifest.targets),
+    }
+    show(output, counts, f"{file}: ok, {counts['services']} services, {counts['targets']} targets")
     return ExitCode.OK
 
 
+@app.command
+@command
+async def diff(
+    file: Path,
+    *,
+    output: Output = Output.TABLE,
+    platform: Platform = Platform(),  # noqa: B008 - cyclopts reads the default
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """Compare a file with the generation in force.
+
+    It is read from the platform, or from a gateway while the platform is down or not given.
+    """
+    manifest = read_manifest(file)
+    held, source = await read_in_force(platform, api)
+    changes = diff_manifests(held.manifest if held else None, manifest)
+    generation = held.generation if held else 0
+    value = {"generation": generation, "source": source, "changes": changes}
+    if not changes:
+        show(output, value, f"no difference from generation {generation} ({source})")
+        return ExitCode.OK
+    title = f"{len(changes)} differences from generation {generation} ({source})"
+    show(output, value, table(["path", "in force", "in the file"], change_rows(changes), title))
+    return ExitCode.OK
+
+
+def change_rows(changes: list[Change]) -> list[tuple[str, str, str]]:
+    """Return the cells of differences."""
+    return [(change.path, brief(change.old), brief(change.new)) for change in changes]
+
+
+def brief(value) -> str:
+    """Return a value in one line."""
+    if value is None:
+        return "-"
+    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
+
+
+async def read_in_force(platform: Platform, api: Api) -> tuple[Revision | None, str]:
+    """Return the revision in force and who told it."""
+    if platform.platform:
+        try:
+            async with opened(platform) as store:
+                return await read_revision(store), "platform"
+        except ObjectStoreError as error:
+            note(f"the platform does not answer: {error}; asking the gateways")
+    async with api.connect() as connection:
+        stored = await OperatorClient(connection).manifest()
+    return decode_revision(msgspec.json.encode(stored)) if stored else None, "gateway"
+
+
 @app.command
 @command
 async def apply(
     file: Path,
     *,
     generation: Annotated[int | None, Parameter(help="Generation it was made from.")] = None,
-    author: str = "",
-    wait: Annotated[bool, Parameter(help="Wait until every live daemon has it in force.")] = False,
-    timeout_s: float = 30.0,
+    any_generation: Annotated[
+        bool, Parameter(help="Replace whatever generation is in force.", negative=())
+    ] = False,
+    author: Annotated[str, Parameter(help="Who applies it; default: the user's name.")] = "",
+    wait: Annotated[
+        bool, Parameter(help="Wait until every live daemon has it in force.", negative=())
+    ] = False,
+    timeout_s: Annotated[float, Parameter(help="Longest wait in seconds.")] = 30.0,
+    output: Output = Output.TABLE,
     platform: Platform = Platform(),  # noqa: B008 - cyclopts reads the default
     api: Api = Api(),  # noqa: B008 - cyclopts reads the default
 ) -> int:
     """Apply a manifest as the next generation.
 
-    Without --generation it replaces whatever generation is in force when it is read.
+    Exit code 3: another generation is in force, nothing was written. Exit code 4: the write may
+    have taken effect. Exit code 6: applied, but not in force at every live daemon in time.
     """
+    if (generation is None) is not any_generation:
+        raise ValueError("give either --generation N or --any-generation")
     manifest = read_manifest(file)
-    store = platform.open()
-    try:
-        if generation is None:
-            held = await read_revision(store)
-            generation = held.generation if held is not None else 0
-        revision = await apply_manifest(store, manifest, generation, author or getpass.getuser())
-        print(f"generation {revision.generation} applied, change {revision.change_id}")
+    async with opened(platform) as store:
+        revision = await write(store, manifest, generation, author or getpass.getuser())
         try:
             await record_revision(store, revision)
         except ObjectStoreError as error:
-            print(f"the history could not be written: {error}")
-    finally:
-        await store.close()
+            note(f"the history could not be written, a gateway does it later: {error}")
+    value = {"generation": revision.generation, "change_id": revision.change_id}
+    done = f"generation {revision.generation} applied, change {revision.change_id}"
     if not wait:
+        show(output, value, done)
         return ExitCode.OK
-    return await wait_until_confirmed(api, revision.generation, timeout_s)
+    answer = await wait_until_in_force(api, revision.generation, timeout_s)
+    show(output, {**value, **attrs.asdict(answer)}, done, answer.line())
+    return ExitCode.OK if answer.complete else ExitCode.NOT_CONFIRMED
+
 
+async def write(store, manifest: Manifest, generation: int | None, author: str) -> Revision:
+    """Write the next revision over a given generation, or over whatever is in force."""
+    if generation is not None:
+        return await apply_manifest(store, manifest, generation, author)
+    for _ in range(ANY_GENERATION_TRIES - 1):
+        held = await read_revision(store)
+        with contextlib.suppress(GenerationConflict):
+            return await apply_manifest(store, manifest, held.generation if held else 0, author)
+        await asyncio.sleep(0)
+    held = await read_revision(store)
+    return await apply_manifest(store, manifest, held.generation if held else 0, author)
 
-async def wait_until_confirmed(api: Api, generation: int, timeout_s: float) -> int:
-    """Wait until every live daemon reports the generation."""
-    loop = asyncio.get_running_loop()
-    ends = loop.time() + timeout_s
-    missing = ["no gateway has answered"]
+
+@app.command
+@command
+async def history(
+    *,
+    count: Annotated[int, Parameter(help="Number of generations.")] = 20,
+    output: Output = Output.TABLE,
+    platform: Platform = Platform(),  # noqa: B008 - cyclopts reads the default
+    api: Api = Api(),  # noqa: B008 - cyclopts reads the default
+) -> int:
+    """List the last generations with author and time."""
+    try:
+        async with opened(platform) as store:
+            held = await read_revision(store)
+            revisions = await read_history(store, held.generation, count) if held else []
+    except ObjectStoreError as error:
+        note(f"the platform does not answer: {error}")
+        await show_held(api, output)
+        return ExitCode.UNAVAILABLE
+    if held and not any(item.generation == held.generation for item in revisions):
+        revisions.insert(0, held)
+    rows = [history_row(item) for item in revisions]
+    cells = [(row["generation"], row["applied"], row["author"], row["change_id"]) for row in rows]
+    show(output, rows, table(["generation", "applied", "author", "change"], cells))
+    return ExitCode.OK
+
+
+def history_row(revision: Revision) -> dict:
+    """Return a revision without its manifest."""
+    return {
+        "generation": revision.generation,
+        "applied": format_time(revision.applied_at),
+        "author": revision.author,
+        "change_id": revision.change_id,
+        "parent": revision.parent,
+    }
+
+
+async def show_held(api: Api, output: Output) -> None:
+    """Show the one generation that the daemons hold."""
     async with api.connect() as connection:
-        client = OperatorClient(connection)
-        while loop.time() < ends:
-            try:
-                status = await client.status()
-            except ApiError as error:
-                missing = [str(error)]
-                await asyncio.sleep(WAIT_POLL_S)
-                continue
-            missing = status["unconfirmed"]
-            if status["config"]["generation"] >= generation and not missing:
-                print(f"in force at {status['confirmed']} daemons")
-                return ExitCode.OK
-            await asyncio.sleep(WAIT_POLL_S)
-    print(f"not confirmed by: {', '.join(missing)}")
-    return ExitCode.NOT_CONFIRMED
+        try:
+            stored = await OperatorClient(connection).manifest()
+        except ApiError as error:
+            note(str(error))
+            return
+    if stored:
+        row = history_row(decode_revision(msgspec.json.encode(stored)))
+        cells = [(row["generation"], row["applied"], row["author"], row["change_id"])]
+        title = "in force at the gateway"
+        show(output, [row], table(["generation", "applied", "author", "change"], cells, title))
--- a/turmericreach/cli/options.py
+++ b/turmericreach/cli/options.py
@@ -3,18 +3,21 @@
 import asyncio
 import enum
 import functools
+import ssl
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import attrs
 from cyclopts import Parameter
 
-from turmericreach.client import ApiConnection, ApiError
+from turmericreach.client import ApiConnection, ApiError, ChangeUnknown
 from turmericreach.manifest import GenerationConflict, ManifestError
 from turmericreach.objectstore import HttpObjectStore, ObjectStoreError, ResultUnknown
+from turmericreach.telemetry.redaction import redact
 from turmericreach.verdicts import RequestError
 
-__all__ = ["Api", "ExitCode", "Output", "Platform", "command"]
+__all__ = ["Api", "ExitCode", "Output", "Platform", "command", "report"]
 
 DEFAULT_GATEWAY = "http://127.0.0.1:7480"
 PLATFORM_TIMEOUT_S = 5.0
@@ -32,6 +35,17 @@
     NOT_CONFIRMED = 6
 
 
+EXIT_CODE_HELP = {
+    ExitCode.OK: "done",
+    ExitCode.FAILED: "refused or failed",
+    ExitCode.BAD_INPUT: "wrong arguments or input; nothing was changed",
+    ExitCode.CONFLICT: "another change came first; nothing was changed",
+    ExitCode.UNKNOWN_RESULT: "the result stays unknown; read the state before trying again",
+    ExitCode.UNAVAILABLE: "the platform or every gateway is down",
+    ExitCode.NOT_CONFIRMED: "the wait ended before all was confirmed; the change stays",
+}
+
+
 class Output(enum.StrEnum):
     """Form of a command's output."""
 
@@ -50,16 +64,22 @@
         Address of a gateway; give it several times for failover.
     token : str
         Bearer token.
+    ca : Path
+        PEM file of the authority that signs the gateways' certificates.
     """
 
     gateway: Annotated[
         list[str] | None, Parameter(name="--gateway", env_var="TURMERICREACH_GATEWAY")
     ] = None
     token: Annotated[str, Parameter(name="--token", env_var="TURMERICREACH_TOKEN")] = ""
+    ca: Annotated[Path | None, Parameter(name="--ca", env_var="TURMERICREACH_CA")] = None
 
     def connect(self) -> ApiConnection:
         """Return a connection to be used as a context manager."""
-        return ApiConnection(self.gateway or [DEFAULT_GATEWAY], self.token)
+        context = None
+        if self.ca is not None:
+            context = ssl.create_default_context(cafile=self.ca)
+        return ApiConnection(self.gateway or [DEFAULT_GATEWAY], self.token, context)
 
 
 @Parameter(name="*")
@@ -96,24 +116,37 @@
             code = asyncio.run(function(*args, **kwargs))
         except KeyboardInterrupt:
             return report("interrupted", ExitCode.FAILED)
-        except GenerationConflict as error:
-            return report(str(error), ExitCode.CONFLICT)
-        except ManifestError as error:
-            return report(str(error), ExitCode.BAD_INPUT)
-        except ResultUnknown as error:
-            return report(f"the result is unknown: {error}", ExitCode.UNKNOWN_RESULT)
-        except ObjectStoreError as error:
-            return report(f"the platform does not answer: {error}", ExitCode.UNAVAILABLE)
-        except ApiError as error:
-            code = ExitCode.FAILED if error.status else ExitCode.UNAVAILABLE
-            return report(describe(error), code)
-        except (ValueError, RequestError, OSError) as error:
-            return report(str(error), ExitCode.BAD_INPUT)
+        except Exception as error:  # noqa: BLE001 - a person gets one line, never a traceback
+            return report_error(error)
         return ExitCode.OK if code is None else code
 
     return wrapper
 
 
+def report_error(error: Exception) -> int:
+    """Print the line for an error and return its exit code."""
+    if isinstance(error, GenerationConflict):
+        return report(str(error), ExitCode.CONFLICT)
+    if isinstance(error, ManifestError):
+        return report(str(error), ExitCode.BAD_INPUT)
+    if isinstance(error, ResultUnknown):
+        return report(f"the result is unknown: {error}", ExitCode.UNKNOWN_RESULT)
+    if isinstance(error, ObjectStoreError):
+        return report(f"the platform does not answer: {error}", ExitCode.UNAVAILABLE)
+    if isinstance(error, ChangeUnknown):
+        return report(f"the result is unknown: {error}", ExitCode.UNKNOWN_RESULT)
+    if isinstance(error, ApiError):
+        code = ExitCode.FAILED if error.status else ExitCode.UNAVAILABLE
+        return report(describe(error), code)
+    if isinstance(error, BrokenPipeError):
+        # The reader of the output, for example `head`, has seen enough.
+        sys.stdout = None
+        return ExitCode.OK
+    if isinstance(error, ValueError | RequestError | OSError):
+        return report(str(error), ExitCode.BAD_INPUT)
+    return report(f"unexpected {type(error).__name__}: {error}", ExitCode.FAILED)
+
+
 def describe(error: ApiError) -> str:
     """Return the line for an error of a gateway."""
     code = f" [{error.code}, {error.verdict}]" if error.code else ""
@@ -121,6 +154,6 @@
 
 
 def report(message: str, code: ExitCode) -> int:
-    """Print an error and return the exit code."""
-    print(f"turmericreach: {message}", file=sys.stderr)
+    """Print an error without secrets in one line, or a list of problems, and return the code."""
+    print(f"turmericreach: {redact(message)}", file=sys.stderr)
     return code
--- a/turmericreach/client/operator.py
+++ b/turmericreach/client/operator.py
@@ -1,13 +1,24 @@
 """Calls that operators make."""
 
-from turmericreach.api import DrainRequest, LotStatus
-from turmericreach.client.connection import ApiConnection
+from urllib.parse import quote
 
-__all__ = ["OperatorClient"]
+from turmericreach.api import AnnounceRequest, DrainRequest, LotStatus
+from turmericreach.client.connection import RETRYABLE_STATUSES, ApiConnection, ApiError
+from turmericreach.verdicts import Verdict
+
+__all__ = ["ChangeUnknown", "OperatorClient"]
+
+CALL_TIMEOUT_S = 15.0
+
+
+class ChangeUnknown(ApiError):
+    """A change that may have taken effect, although no gateway confirmed it."""
 
 
 class OperatorClient:
-    """Reads state from the daemons and changes drains.
+    """Reads state from the daemons, and changes drains, versions and lots.
+
+    Every call has the same effect when it is made twice, so each known gateway is tried once.
 
     Parameters
     ----------
@@ -17,23 +28,77 @@
     def __init__(self, connection: ApiConnection):
         self.connection = connection
 
+    async def call(self, method: str, path: str, body=None, answer_type=dict):
+        """Make a call at the first gateway that answers.
+
+        Raises
+        ------
+        ChangeUnknown
+            If a change may have taken effect.
+        ApiError
+            The answer of a gateway that refuses; without any answer, an error with status 0 that
+            names the addresses that were tried.
+        """
+        tried = []
+        refusal = None
+        unknown = False
+        for _ in self.connection.urls:
+            try:
+                return await self.connection.call(method, path, body, answer_type, CALL_TIMEOUT_S)
+            except ApiError as error:
+                unknown |= method != "GET" and error.verdict is Verdict.MAY_HAVE_RUN
+                refusal = error if error.status else refusal
+                tried.append(str(error))
+                if error.status and error.status not in RETRYABLE_STATUSES:
+                    break
+        if unknown:
+            raise ChangeUnknown(f"the change may have taken effect; tried {'; '.join(tried)}")
+        if refusal is not None:
+            raise refusal
+        raise ApiError(f"no gateway answers; tried {'; '.join(tried)}", verdict=Verdict.NOT_RUN)
+
     async def status(self) -> dict:
         """Return the state of the deployment as one gateway sees it."""
-        return await self.connection.call("GET", "/v1/status")
+        return await self.call("GET", "/v1/status")
 
     async def targets(self) -> list[dict]:
         """Return what is known of each target."""
-        return await self.connection.call("GET", "/v1/targets", None, list)
+        return await self.call("GET", "/v1/targets", None, list)
+
+    async def target(self, name: str) -> dict:
+        """Return the state of one target as its agent sees it now."""
+        return await self.call("GET", f"/v1/targets/{quote(name, safe='')}")
 
     async def lots(self) -> list[LotStatus]:
         """Return the lots that the live gateways coordinate."""
-        return await self.connection.call("GET", "/v1/lots", None, list[LotStatus])
+        return await self.call("GET", "/v1/lots", None, list[LotStatus])
+
+    async def lot(self, name: str) -> LotStatus:
+        """Return the state of one lot."""
+        return await self.call("GET", f"/v1/lots/{quote(name, safe='')}", None, LotStatus)
+
+    async def cancel_lot(self, name: str) -> None:
+        """End a lot."""
+        await self.call("POST", f"/v1/lots/{quote(name, safe='')}/cancel")
+
+    async def announce(self, model: str, version: int) -> dict:
+        """Announce a version of a model's weights."""
+        path = f"/v1/models/{quote(model, safe='')}/version"
+        return await self.call("PUT", path, AnnounceRequest(version))
 
     async def drain(self, target: str, drain: bool) -> dict:
         """Start or lift the drain of a target."""
-        path = f"/v1/targets/{target}/drain"
-        return await self.connection.call("POST", path, DrainRequest(drain))
+        path = f"/v1/targets/{quote(target, safe='')}/drain"
+        return await self.call("POST", path, DrainRequest(drain))
 
     async def explain(self, subject: str) -> list[dict]:
         """Return the decisions about a request or a sample, attempt by attempt."""
-        return await self.connection.call("GET", f"/v1/explain/{subject}", None, list)
+        return await self.call("GET", f"/v1/explain/{quote(subject)}", None, list)
+
+    async def manifest(self) -> dict:
+        """Return the stored revision that a gateway has in force, empty if there is none."""
+        return await self.call("GET", "/v1/manifest")
+
+    async def unwritten_audit(self) -> list[dict]:
+        """Return the audit records that the gateways could not write yet."""
+        return await self.call("GET", "/v1/audit/unwritten", None, list)
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -13,12 +13,20 @@
 from turmericreach.daemon.inspection import INSPECT, Inspection
 from turmericreach.daemon.node import START_SHIFT, Node
 from turmericreach.daemon.rollout import GRANT, GrantMessage
-from turmericreach.daemon.target_drain import DRAIN, DrainMessage, read_drains
+from turmericreach.daemon.target_drain import (
+    DRAIN,
+    WORK,
+    DrainMessage,
+    TargetWork,
+    WorkQuery,
+    read_drains,
+)
 from turmericreach.httpclient import open_session
 from turmericreach.membership import TargetStatus
 from turmericreach.objectstore import ObjectStoreError
 from turmericreach.rpc import Hello, PeerServer
 from turmericreach.telemetry import events, log_event
+from turmericreach.telemetry import metric_catalogue as metrics
 from turmericreach.verdicts import Outcome
 from turmericreach.weights import FencingNumbers
 
@@ -47,6 +55,8 @@
         self.loops: dict[str, ConvergenceLoop] = {}
         self.loop_tasks: dict[str, asyncio.Task] = {}
         self.drained: dict[str, bool] = {}
+        self.draining_since: dict[str, float] = {}
+        self.idle: set[str] = set()
         self.session = open_session()
         self.fresh_session = open_session(reuse=False)
         self.rpc = PeerServer(
@@ -124,6 +134,7 @@
             self.session,
             self.fresh_session,
             now,
+            self.node.metrics,
         )
         hosted.drained = self.drained.get(spec.name, False)
         self.attempts.targets[spec.name] = hosted
@@ -135,6 +146,7 @@
             self.numbers,
             self.node.settings.security.order_token,
             self.publish,
+            self.node.metrics,
         )
         self.loops[spec.name] = loop
         self.loop_tasks[spec.name] = asyncio.ensure_future(self.fleet.supervise(loop.run))
@@ -188,8 +200,25 @@
             wall = datetime.datetime.now(datetime.UTC)
             for hosted in self.attempts.targets.values():
                 hosted.steer(self.node.now(), wall)
+                self.observe(hosted)
             self.publish()
 
+    def observe(self, hosted: HostedTarget) -> None:
+        """Send the gauges of a target, and log when a drained one has no work left."""
+        name = hosted.spec.name
+        running, waiting = hosted.in_flight()
+        self.node.metrics.gauge(metrics.IN_FLIGHT, running, target=name)
+        self.node.metrics.gauge(metrics.QUEUED, waiting, target=name)
+        if not (hosted.drained or hosted.spec.drain):
+            self.draining_since.pop(name, None)
+            self.idle.discard(name)
+            return
+        since = self.draining_since.setdefault(name, self.node.now())
+        if running or waiting or name in self.idle:
+            return
+        self.idle.add(name)
+        log_event(events.TARGET_DRAINED, target=name, seconds=self.node.now() - since)
+
     async def expire_loop(self) -> None:
         """Forget attempts that need not be kept any more."""
         while True:
@@ -220,6 +249,14 @@
             log_event(events.TARGET_LEAVING, target=message.target, reason="drained")
         self.publish()
 
+    def work_of(self, target: str) -> TargetWork:
+        """Return what a target has in flight."""
+        hosted = self.attempts.targets.get(target)
+        if hosted is None:
+            return TargetWork(target, True)
+        running, waiting = hosted.in_flight()
+        return TargetWork(target, True, hosted.drained or hosted.spec.drain, running, waiting)
+
     # PeerHandler protocol
 
     def hello(self, hello: Hello) -> Hello:
@@ -229,6 +266,7 @@
     async def submit(self, attempt, writer) -> Outcome:
         """Run an attempt at a target of this host."""
         outcome = await self.attempts.submit(attempt, writer)
+        self.node.metrics.count(metrics.ATTEMPTS, target=attempt.target, verdict=outcome.verdict)
         what = f"{attempt.target}: {outcome.verdict} {outcome.code}".strip()
         self.node.decide(attempt.request_id, attempt.attempt_id, what, outcome.evidence)
         return outcome
@@ -254,4 +292,7 @@
         if kind == DRAIN:
             self.set_drain(msgspec.json.decode(body, type=DrainMessage))
             return b""
+        if kind == WORK:
+            query = msgspec.json.decode(body, type=WorkQuery)
+            return msgspec.json.encode(self.work_of(query.target))
         return await self.fleet.answer(kind, body)
--- a/turmericreach/daemon/convergence.py
+++ b/turmericreach/daemon/convergence.py
@@ -4,7 +4,8 @@
 
 from turmericreach.daemon.hosted import HostedTarget
 from turmericreach.targets import EngineError, EngineOrder, EngineVersion, OrderKind, OrderRefused
-from turmericreach.telemetry import events, log_event
+from turmericreach.telemetry import Metrics, events, log_event
+from turmericreach.telemetry import metric_catalogue as metrics
 from turmericreach.verdicts import ErrorCode, Verdict
 from turmericreach.weights import (
     ActionKind,
@@ -36,6 +37,7 @@
         Proof of who gives the order, for engines that check it.
     on_change : callable
         Called without arguments when the real version or the reachability changed.
+    sink : Metrics
     """
 
     def __init__(
@@ -45,8 +47,11 @@
         numbers: FencingNumbers,
         order_token: str,
         on_change,
+        sink: Metrics,
     ):
         self.target = target
+        self.sink = sink
+        self.mismatch: int | None = None
         self.wanted = wanted
         self.converger = TargetConverger(numbers)
         self.order_token = order_token
@@ -116,16 +121,27 @@
     def log_swap(self, answer: EngineVersion, now: float) -> None:
         """Log the end of a swap, and a version that nobody ordered."""
         name = self.target.spec.name
+        active = self.converger.active
+        self.sink.gauge(metrics.REAL_VERSION, answer.version, target=name)
+        if answer.version >= active:
+            self.log_swapped(answer, now)
+            return
+        was_there = self.target.version >= active > 0
+        if self.mismatch is None and (self.converger.swapping or was_there):
+            self.mismatch = answer.version
+            log_event(events.MISMATCH_FOUND, target=name, real=answer.version, wanted=active)
+
+    def log_swapped(self, answer: EngineVersion, now: float) -> None:
+        """Log that the engine serves what is wanted."""
+        name = self.target.spec.name
         if self.converger.swapping:
             seconds = now - self.swap_started_at
-            if answer.version >= self.converger.active:
-                log_event(events.SWAP_DONE, target=name, version=answer.version, seconds=seconds)
-                return
+            log_event(events.SWAP_DONE, target=name, version=answer.version, seconds=seconds)
+            self.sink.timing(metrics.SWAP_TIME, seconds, target=name)
+        if self.mismatch is not None:
+            real, self.mismatch = self.mismatch, None
             log_event(
-                events.MISMATCH_FOUND,
-                target=name,
-                real=answer.version,
-                wanted=self.converger.active,
+                events.MISMATCH_REPAIRED, target=name, real=real, wanted=self.converger.active
             )
 
     def set_reachable(self, reachable: bool, error: str = "") -> None:
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -8,24 +8,32 @@
 from turmericreach.api import AnnounceRequest
 from turmericreach.attempts import CallerRequest, ClaimKeeper, RequestRunner, SentAttempt
 from turmericreach.audit import AuditLog, AuditRecord
-from turmericreach.config import Confirmation
+from turmericreach.daemon.config_audit import ConfigAudit
+from turmericreach.daemon.duty_watch import DutyWatch
 from turmericreach.daemon.fleet import FleetService
 from turmericreach.daemon.gateway_app import build_app
-from turmericreach.daemon.inspection import INSPECT, Inspection, inspect_members
-from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
+from turmericreach.daemon.inspection import INSPECT, Inspection
 from turmericreach.daemon.lot_runner import LotContext
 from turmericreach.daemon.lot_service import LOT, LotService
 from turmericreach.daemon.node import Node
+from turmericreach.daemon.observations import (
+    BreakerWatch,
+    ObservedBudget,
+    ObservedRunner,
+    log_claim,
+)
 from turmericreach.daemon.ordinary import OrdinaryRequests
+from turmericreach.daemon.reports import UNWRITTEN, Reports
 from turmericreach.daemon.rollout import WeightRollouts, save_wanted
 from turmericreach.daemon.routing_sync import AgentPeers, RoutingSync
 from turmericreach.daemon.target_drain import DrainWriter
 from turmericreach.httpserver import CancelOnDisconnect, HttpServer, bind_socket
 from turmericreach.lots import LotSpec
-from turmericreach.routing import RetryBudget, RoutingTable
-from turmericreach.rpc import Hello, PeerError, PeerServer
+from turmericreach.routing import RoutingTable
+from turmericreach.rpc import Hello, PeerServer
 from turmericreach.security import TokenTable
 from turmericreach.telemetry import events, log_event
+from turmericreach.telemetry import metric_catalogue as metrics
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
 from turmericreach.weights import PREPARE, WantedVersion
 
@@ -34,7 +42,6 @@
 SYNC_INTERVAL_S = 0.25
 SETTLE_TIMEOUT_S = 2.0
 CLAIM_WAIT_S = 1.0
-LIST_TIMEOUT_S = 3.0
 # Health checks fail for this long before connections are refused, so that the platform's balancer
 # stops sending requests here first.
 LEAVE_DELAY_S = 2.0
@@ -53,16 +60,27 @@
         self.node = node
         self.fleet = FleetService(node, self.on_config, lambda: None)
         self.table = RoutingTable(node.settings.data_centre, node.settings.region)
+        self.breakers = BreakerWatch(self.table.breaker)
         self.sync = RoutingSync(node, self.table)
         self.peers = AgentPeers(node)
-        self.runner = RequestRunner(self, self.peers, self, RetryBudget(now=node.now()))
+        self.runner = RequestRunner(
+            self, self.peers, self, ObservedBudget(node.metrics, node.now())
+        )
         self.claims = ClaimKeeper(node.store, self, node.wall_clock)
         self.lots = LotService(node, self.lot_context)
-        self.rollouts = WeightRollouts(node, self.fleet.take_wanted)
-        self.audit = AuditLog(node.store, node.settings.data_centre, node.name)
+        self.lots.observer.record = self.record
+        self.rollouts = WeightRollouts(node, self.fleet.take_wanted, self.record)
+        self.audit = AuditLog(
+            node.store, node.settings.data_centre, node.name, on_lost=self.count_lost
+        )
         self.tokens = TokenTable(node.settings.security.tokens)
         self.drains = DrainWriter(node)
-        self.ordinary = OrdinaryRequests(self.runner, self.node.services.get, node.settings.limits)
+        self.duty_watch = DutyWatch(node, self.record)
+        self.config_audit = ConfigAudit(node, self.audit)
+        self.reports = Reports(self)
+        self.ordinary = OrdinaryRequests(
+            ObservedRunner(self.runner, node.metrics), self.node.services.get, node.settings.limits
+        )
         self.rpc = PeerServer(
             self, node.settings.listen.ip, node.settings.listen.rpc_port, node.server_ssl
         )
@@ -85,7 +103,15 @@
             self.node.server_ssl,
         )
         await self.http.start()
-        for loop in (self.sync_loop, self.lots.run, self.rollouts.run, self.audit.run):
+        loops = (
+            self.sync_loop,
+            self.lots.run,
+            self.rollouts.run,
+            self.audit.run,
+            self.duty_watch.run,
+            self.config_audit.run,
+        )
+        for loop in loops:
             self.tasks.append(asyncio.ensure_future(self.fleet.supervise(loop)))
 
     async def stop(self) -> int:
@@ -122,6 +148,7 @@
         """Take over a new configuration."""
         self.ordinary.service_of = self.node.services.get
         self.sync.configure()
+        self.config_audit.note(self.node.config.revision)
 
     async def sync_loop(self) -> None:
         """Keep the routing table current."""
@@ -129,6 +156,7 @@
             await asyncio.sleep(SYNC_INTERVAL_S)
             if self.node.manifest is not None:
                 self.sync.update()
+            self.node.metrics.gauge(metrics.AUDIT_PENDING, len(self.audit.pending))
 
     # Router protocol
 
@@ -143,6 +171,7 @@
     def on_ended(self, target, attempt_id, outcome, latency_s, tokens, now):
         """Learn from an attempt."""
         self.table.on_ended(target, attempt_id, outcome, latency_s, tokens, now)
+        self.breakers.look(target)
 
     def state_of(self, target):
         """Return what is believed about a target."""
@@ -156,7 +185,9 @@
         if request.idempotent or not request.key:
             return None
         left_s = max(0.0, request.deadline - self.node.now())
-        return await self.claims.claim(request, sent, min(CLAIM_WAIT_S, left_s))
+        outcome = await self.claims.claim(request, sent, min(CLAIM_WAIT_S, left_s))
+        log_claim(request, outcome)
+        return outcome
 
     def on_decision(self, request_id, attempt_id, what, evidence) -> None:
         """Record a decision for `explain`."""
@@ -206,6 +237,8 @@
             return await self.lots.answer_peer(body)
         if kind == INSPECT:
             return Inspection(self.node).answer(body)
+        if kind == UNWRITTEN:
+            return msgspec.json.encode(self.reports.own_unwritten())
         return await self.fleet.answer(kind, body)
 
     # Operations of the HTTP interface
@@ -260,8 +293,8 @@
             self.rollouts.unsaved.setdefault(model, row)
         return {"model": model, "version": body.version, "active": before}
 
-    def record(self, actor, action, subject, before="", after="") -> None:
-        """Add a record to the audit trail."""
+    def record(self, actor, action, subject, before="", after="", record_id="") -> None:
+        """Add a record to the audit trail; records with one id are shown once."""
         self.audit.append(
             AuditRecord(
                 self.node.wall_clock(),
@@ -272,81 +305,23 @@
                 before,
                 after,
                 self.node.config.generation,
+                record_id=record_id,
             )
         )
 
+    def count_lost(self, count: int) -> None:
+        """Count audit records that could not be kept."""
+        self.node.metrics.count(metrics.AUDIT_LOST, count)
+
     async def drain(self, target: str, drain: bool, who: str) -> dict:
         """Start or lift the drain of a target."""
         if target not in self.node.targets:
             raise RequestError(ErrorCode.UNKNOWN_TARGET, f"no target {target}", 404)
-        answer = await self.drains.drain(target, drain, who)
-        self.record(who, "drain" if drain else "undrain", f"target/{target}", "", str(drain))
+        action, subject = "drain" if drain else "undrain", f"target/{target}"
+        try:
+            answer = await self.drains.drain(target, drain, who)
+        except RequestError:
+            self.record(who, action, subject, "", "unknown: neither platform nor agent answered")
+            raise
+        self.record(who, action, subject, "", "drained" if drain else "in service")
         return answer
-
-    def status(self) -> dict:
-        """Return what this gateway knows of the deployment."""
-        now = self.node.now()
-        members = self.node.members
-        members.tick(now)
-        rows = [
-            {
-                "name": record.name,
-                "role": record.role,
-                "data_centre": record.data_centre,
-                "state": members.member_state(record.name),
-                "generation": record.generation,
-                "age_s": round(members.age_s(record.name), 1),
-            }
-            for record in members.records.values()
-        ]
-        live = {record.name: record.generation for record in members.live(now)}
-        confirmation = Confirmation.from_generations(self.node.config.generation, live)
-        return {
-            "daemon": self.node.name,
-            "platform_up": self.fleet.platform_up,
-            "config": self.node.config.in_force_report(),
-            "confirmed": confirmation.confirmed,
-            "unconfirmed": confirmation.missing,
-            "members": sorted(rows, key=lambda row: row["name"]),
-            "wanted": [
-                {"model": row.model, "version": row.version, "phase": row.phase}
-                for row in self.node.wanted.rows()
-            ],
-        }
-
-    def target_rows(self) -> list[dict]:
-        """Return what is known of each target."""
-        rows = []
-        for name, record in sorted(self.table.records.items()):
-            rows.append(
-                {
-                    "target": name,
-                    "service": record.spec.service,
-                    "data_centre": record.spec.data_centre,
-                    "state": str(record.state),
-                    "version": record.version,
-                    "load": record.load_view(),
-                    "slots": record.slots,
-                    "speed": round(record.speed or record.spec.speed, 1),
-                }
-            )
-        return rows
-
-    async def list_lots(self) -> list:
-        """Return the lots of all live gateways."""
-        lots = msgspec.json.decode(await self.lots.list_local(LotCall(LotOperation.LIST)))
-        for name in self.node.members.gateways(self.node.now()):
-            if name == self.node.name:
-                continue
-            try:
-                client = await self.node.peers.get(self.node.members.records[name].address)
-                call = msgspec.json.encode(LotCall(LotOperation.LIST))
-                body = await client.control(LOT, call, LIST_TIMEOUT_S)
-                lots += msgspec.json.decode(msgspec.json.decode(body, type=LotReply).body)
-            except (PeerError, msgspec.DecodeError):
-                continue
-        return lots
-
-    async def explain(self, subject: str) -> list[dict]:
-        """Return the decisions of all live daemons about a request or a sample."""
-        return await inspect_members(self.node, subject)
--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -1,5 +1,7 @@
 """HTTP routes of a gateway."""
 
+from urllib.parse import unquote
+
 import msgspec
 from blacksheep import Application, Content, Request, Response
 from blacksheep.server.routing import Router
@@ -17,6 +19,7 @@
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 JSON = b"application/json"
 SMALL_BODY_BYTES = 4096
+TRAINER, OPERATOR = TokenRole.TRAINER, TokenRole.OPERATOR
 
 
 def build_app(gateway) -> Application:
@@ -37,7 +40,10 @@
     add("PUT", "/v1/models/{model}/version", routes.announce)
     add("GET", "/v1/status", routes.status)
     add("GET", "/v1/targets", routes.targets)
+    add("GET", "/v1/targets/{target}", routes.target)
     add("POST", "/v1/targets/{target}/drain", routes.drain)
+    add("GET", "/v1/manifest", routes.manifest)
+    add("GET", "/v1/audit/unwritten", routes.unwritten_audit)
     add("GET", "/v1/explain/*", routes.explain)
     for method in METHODS:
         add(method, "/services/{service}", routes.ordinary)
@@ -64,6 +70,8 @@
 
 async def handle_request_error(app, request: Request, error: RequestError) -> Response:
     """Answer an error with a stable code."""
+    if error.code == ErrorCode.BODY_TOO_LARGE:
+        log_event(events.BODY_REFUSED, reason=error.message)
     return error_response(error, getattr(error, "request_id", ""))
 
 
@@ -97,12 +105,14 @@
         self.limits = gateway.node.settings.limits
         self.body_timeout_s = self.limits.slow_sender_timeout_s
 
-    def authorize(self, request: Request, role: TokenRole) -> str:
-        """Return who calls; raises `RequestError` without the role."""
-        if not self.gateway.tokens.entries:
-            return "anonymous"
+    def authorize(self, request: Request, *roles: TokenRole) -> str:
+        """Return who calls; raises `RequestError` without one of the roles."""
         value = request.get_first_header(b"authorization")
-        return self.gateway.tokens.authorize((value or b"").decode("latin-1"), role)
+        try:
+            return self.gateway.tokens.authorize(value, *roles)
+        except RequestError as error:
+            log_event(events.TOKEN_REFUSED, reason=error.message)
+            raise
 
     def require_ready(self) -> None:
         """Refuse requests until a configuration is in force."""
@@ -123,12 +133,13 @@
             return json_response({"state": "starting"}, 503)
         return json_response({"state": "ready"})
 
-    async def lot_call(self, request, operation, max_bytes) -> Response:
+    async def lot_call(self, request, operation, max_bytes, *roles: TokenRole) -> Response:
         """Pass a trainer's lot call on to its coordinator."""
-        self.authorize(request, TokenRole.TRAINER)
+        who = self.authorize(request, *roles)
         self.require_ready()
         body = await self.body(request, max_bytes)
-        return await self.run_lot_call(LotCall(operation, route_value(request, "lot"), body))
+        lot = route_value(request, "lot")
+        return await self.run_lot_call(LotCall(operation, lot, body, actor=who))
 
     async def run_lot_call(self, call: LotCall) -> Response:
         """Run a lot call and return its JSON answer."""
@@ -137,11 +148,11 @@
 
     async def declare_lot(self, request: Request) -> Response:
         """Declare a lot."""
-        self.authorize(request, TokenRole.TRAINER)
+        who = self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
         body = await self.body(request, self.limits.max_lot_bytes)
         name = decode_body(body, LotName).name
-        return await self.run_lot_call(LotCall(LotOperation.DECLARE, name, body))
+        return await self.run_lot_call(LotCall(LotOperation.DECLARE, name, body, actor=who))
 
     async def pull(self, request: Request) -> Response:
         """Hand finished samples to a trainer."""
@@ -159,24 +170,28 @@
 
     async def acknowledge(self, request: Request) -> Response:
         """Take over an acknowledged cursor."""
-        return await self.lot_call(request, LotOperation.ACK, self.limits.max_body_bytes)
+        return await self.lot_call(request, LotOperation.ACK, self.limits.max_body_bytes, TRAINER)
 
     async def cancel_lot(self, request: Request) -> Response:
         """End a lot."""
-        return await self.lot_call(request, LotOperation.CANCEL, SMALL_BODY_BYTES)
+        return await self.lot_call(
+            request, LotOperation.CANCEL, SMALL_BODY_BYTES, TRAINER, OPERATOR
+        )
 
     async def lot_status(self, request: Request) -> Response:
         """Return the state of a lot."""
-        return await self.lot_call(request, LotOperation.STATUS, SMALL_BODY_BYTES)
+        return await self.lot_call(
+            request, LotOperation.STATUS, SMALL_BODY_BYTES, TRAINER, OPERATOR
+        )
 
     async def list_lots(self, request: Request) -> Response:
         """Return the lots of all live gateways."""
         self.authorize(request, TokenRole.OPERATOR)
-        return json_response(await self.gateway.list_lots())
+        return json_response(await self.gateway.reports.list_lots())
 
     async def announce(self, request: Request) -> Response:
         """Take over a weight version that a trainer announces."""
-        who = self.authorize(request, TokenRole.TRAINER)
+        who = self.authorize(request, TRAINER, OPERATOR)
         self.require_ready()
         body = await read_json(request, AnnounceRequest, SMALL_BODY_BYTES, self.body_timeout_s)
         return json_response(await self.gateway.announce(route_value(request, "model"), body, who))
@@ -184,12 +199,12 @@
     async def status(self, request: Request) -> Response:
         """Return what this gateway knows of the deployment."""
         self.authorize(request, TokenRole.OPERATOR)
-        return json_response(self.gateway.status())
+        return json_response(self.gateway.reports.status())
 
     async def targets(self, request: Request) -> Response:
         """Return what is known of each target."""
         self.authorize(request, TokenRole.OPERATOR)
-        return json_response(self.gateway.target_rows())
+        return json_response(self.gateway.reports.target_rows())
 
     async def drain(self, request: Request) -> Response:
         """Start or lift the drain of a target."""
@@ -204,7 +219,25 @@
         """Return the decisions about a request or a sample."""
         self.authorize(request, TokenRole.OPERATOR)
         path = request.url.path.decode("ascii", "replace")
-        return json_response(await self.gateway.explain(path.removeprefix("/v1/explain/")))
+        subject = unquote(path.removeprefix("/v1/explain/"))
+        return json_response(await self.gateway.reports.explain(subject))
+
+    async def target(self, request: Request) -> Response:
+        """Return what a target has in flight, asked of its agent now."""
+        self.authorize(request, TokenRole.OPERATOR)
+        self.require_ready()
+        name = route_value(request, "target")
+        return json_response(await self.gateway.reports.target_work(name))
+
+    async def manifest(self, request: Request) -> Response:
+        """Return the stored revision in force."""
+        self.authorize(request, TokenRole.OPERATOR)
+        return raw_json(self.gateway.reports.manifest())
+
+    async def unwritten_audit(self, request: Request) -> Response:
+        """Return the audit records that the gateways could not write yet."""
+        self.authorize(request, TokenRole.OPERATOR)
+        return json_response(await self.gateway.reports.unwritten_audit())
 
     async def ordinary(self, request: Request) -> Response:
         """Run an ordinary request."""
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -19,6 +19,8 @@
 from turmericreach.manifest import Manifest, ServiceKind, ServiceSpec, TargetSpec
 from turmericreach.rpc import Attempt
 from turmericreach.targets import EngineError, HttpService, OpenAIEngine, ServiceCall
+from turmericreach.telemetry import Metrics, events, log_event
+from turmericreach.telemetry import metric_catalogue as metrics
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
 
 __all__ = ["HostedTarget"]
@@ -40,6 +42,7 @@
         Sessions with and without kept connections.
     now : float
         Loop time in seconds.
+    sink : Metrics
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         session: aiohttp.ClientSession,
         fresh_session: aiohttp.ClientSession,
         now: float,
+        sink: Metrics,
     ):
+        self.sink = sink
         self.spec = spec
         self.service = service
         self.table = table
@@ -87,7 +92,15 @@
         if self.is_model:
             reserved = self.calendar.reserved_slots(self.spec.slots, wall)
             self.wake(self.admission.set_reserved(reserved, now))
+            former = self.window.limit
             limit = self.window.update(now)
+            if limit < former:
+                log_event(
+                    events.ROLLOUTS_REDUCED,
+                    target=self.spec.name,
+                    slots=limit,
+                    reason="ordinary requests got slower",
+                )
             self.wake(self.admission.set_rollout_limit(limit, now))
         for ticket_id in self.admission.expire(now):
             self.give_up(ticket_id, ErrorCode.DEADLINE_EXCEEDED, "deadline passed in the queue")
@@ -160,6 +173,15 @@
         if isinstance(answer, Admitted):
             return None
         if isinstance(answer, Refused):
+            log_event(
+                events.ADMISSION_REFUSED,
+                target=self.spec.name,
+                reason=answer.code,
+                retry_after_s=answer.retry_after_s,
+                request_id=attempt.request_id,
+                priority=attempt.priority,
+            )
+            self.sink.count(metrics.REFUSALS, reason=answer.code)
             return self.table.revoke(entry, answer.code, "not admitted", answer.retry_after_s)
         future = loop.create_future()
         self.waiting[attempt.attempt_id] = future
@@ -182,6 +204,9 @@
     def finish(self, entry, attempt, outcome, streamed, started, now) -> None:
         """Record the outcome and free the slot."""
         tokens = sum(segment.tokens for segment in outcome.segments)
+        if tokens:
+            self.sink.count(metrics.TOKENS, tokens, target=self.spec.name)
+        self.sink.timing(metrics.ATTEMPT_TIME, now - started, target=self.spec.name)
         self.wake(self.admission.release(attempt.attempt_id, now, tokens or None))
         if entry.outcome is None:
             self.table.finish(entry, outcome, answer_kept=not streamed)
--- a/turmericreach/daemon/inspection.py
+++ b/turmericreach/daemon/inspection.py
@@ -15,6 +15,7 @@
 CALL_TIMEOUT_S = 2.0
 # 340 daemons are asked in turns, so that one command does not open all connections at once.
 CONCURRENT_CALLS = 32
+NO_ANSWER = "no answer"
 
 
 @attrs.frozen
@@ -51,22 +52,26 @@
 
 
 async def inspect_members(node: Node, subject: str) -> list[dict]:
-    """Return the decisions of all live daemons about a subject, in the order of time."""
+    """Return the decisions of all live daemons about a subject, in the order of time.
+
+    A daemon that does not answer has a row without a request.
+    """
     decisions = Inspection(node).find(subject)
     limit = asyncio.Semaphore(CONCURRENT_CALLS)
     body = msgspec.json.encode(InspectQuery(subject))
 
-    async def ask(address: str) -> list[Decision]:
+    async def ask(member) -> list[Decision]:
         async with limit:
             try:
-                client = await node.peers.get(address)
+                client = await node.peers.get(member.address)
                 answer = await client.control(INSPECT, body, CALL_TIMEOUT_S)
                 return msgspec.json.decode(answer, type=list[Decision])
-            except (PeerError, msgspec.DecodeError):
-                return []
+            except (PeerError, msgspec.DecodeError) as error:
+                # Without this line, a missing daemon looks like one that decided nothing.
+                return [Decision(node.wall_clock(), member.name, "", "", NO_ANSWER, str(error))]
 
     others = [item for item in node.members.live(node.now()) if item.name != node.name]
-    for found in await asyncio.gather(*(ask(item.address) for item in others)):
+    for found in await asyncio.gather(*(ask(item) for item in others)):
         decisions += found
     decisions.sort(key=lambda decision: decision.at)
     return [attrs.asdict(decision) for decision in decisions]
--- a/turmericreach/daemon/lot_calls.py
+++ b/turmericreach/daemon/lot_calls.py
@@ -35,6 +35,8 @@
         Lot spec of a hand-over.
     pending : bool
         Whether the lot of a hand-over is not stored in the platform yet.
+    actor : str
+        Who makes the call, for the audit trail.
     """
 
     operation: LotOperation
@@ -43,6 +45,7 @@
     wait: float = 0.0
     spec: bytes = b""
     pending: bool = False
+    actor: str = ""
 
     def wait_s(self) -> float:
         """Return the seconds that the call may wait."""
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -12,6 +12,7 @@
     PullRequest,
 )
 from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
+from turmericreach.daemon.lot_observer import LotObserver
 from turmericreach.daemon.lot_runner import LotRunner
 from turmericreach.daemon.lot_store import LotStore
 from turmericreach.daemon.node import Node
@@ -61,6 +62,7 @@
         self.store = LotStore(node.store)
         self.limits = LotLimits(max_bytes=node.settings.limits.max_lot_bytes)
         self.leaving = False
+        self.observer = LotObserver(node)
 
     # Entry points
 
@@ -135,13 +137,13 @@
         async with self.lock(spec.name):
             runner = self.runners.get(spec.name)
             if runner is None:
-                runner = await self.open_declared(spec)
+                runner = await self.open_declared(spec, call.actor)
             is_redeclaration(runner.spec, spec)
         cursor = runner.coordinator.cursor.encode()
         durable = spec.name not in self.store.pending
         return msgspec.json.encode(DeclareAnswer(spec.name, spec.size, durable, cursor))
 
-    async def open_declared(self, spec: LotSpec) -> LotRunner:
+    async def open_declared(self, spec: LotSpec, actor: str) -> LotRunner:
         """Open a lot that a trainer declares and store it."""
         try:
             stored = await self.store.load(spec.name)
@@ -155,13 +157,7 @@
             self.store.pending[spec.name] = spec
             log_event(events.LOT_NOT_DURABLE, lot=spec.name, error=str(error))
             durable = False
-        log_event(
-            events.LOT_DECLARED,
-            trainer=spec.trainer,
-            lot=spec.name,
-            samples=spec.size,
-            durable=durable,
-        )
+        self.observer.on_declared(spec, actor, durable)
         return self.open(spec, Cursor(spec.size))
 
     def check_references(self, spec: LotSpec) -> None:
@@ -224,12 +220,7 @@
                 raise unknown_lot(f"{lot}: not known here and {error}") from error
             if stored is None:
                 raise unknown_lot(lot)
-            log_event(
-                events.LOT_TAKEN_OVER,
-                lot=lot,
-                consumed=stored.cursor.count(),
-                samples=stored.spec.size,
-            )
+            self.observer.on_taken_over(stored.spec, stored.cursor.count())
             return self.open(stored.spec, stored.cursor)
 
     def lock(self, lot: str) -> asyncio.Lock:
@@ -241,6 +232,7 @@
         request = decode_body(call.body, PullRequest)
         runner = await self.find(call.lot)
         cursor = Cursor.decode(request.cursor, runner.spec.size)
+        started = self.node.now()
         result = await runner.pull(
             cursor,
             request.trainer_version,
@@ -248,6 +240,7 @@
             call.wait_s(),
             request.whole_groups,
         )
+        self.observer.on_pull(runner, result, self.node.now() - started)
         self.trace_hand_over(runner, result)
         answer = PullAnswer(result.samples, result.remaining, result.done, result.trainer_version)
         return msgspec.json.encode(answer)
@@ -276,8 +269,8 @@
         runner = await self.find(call.lot)
         # The runner stays until it is idle, so that later pulls are told that the lot ended.
         await runner.stop()
+        self.observer.on_cancelled(runner.spec, call.actor)
         await self.remove_stored(call.lot)
-        log_event(events.LOT_CANCELLED, lot=call.lot, actor=runner.spec.trainer)
         return b"{}"
 
     async def remove_stored(self, lot: str) -> None:
@@ -324,6 +317,7 @@
         async with self.lock(spec.name):
             runner = self.runners.get(spec.name) or self.open(spec, Cursor(spec.size))
         runner.apply(runner.coordinator.take_over(call.body, self.node.now()))
+        self.observer.on_taken_over(spec, runner.coordinator.cursor.count())
         if call.pending:
             self.store.pending.setdefault(spec.name, spec)
         runner.notify()
@@ -338,6 +332,7 @@
             await self.store.flush(self.runners)
             await self.pass_on_moved()
             await self.drop_idle()
+            self.observer.count_waste(self.runners)
 
     async def pass_on_moved(self) -> None:
         """Hand over the lots that another gateway coordinates now."""
--- a/turmericreach/daemon/node.py
+++ b/turmericreach/daemon/node.py
@@ -7,6 +7,7 @@
 
 from turmericreach.attempts import new_incarnation
 from turmericreach.config import ConfigState
+from turmericreach.daemon.observed_store import ObservedStore
 from turmericreach.manifest import Manifest, ServiceSpec, TargetSpec
 from turmericreach.membership import MemberRecord, MemberTable
 from turmericreach.objectstore import CallBudget, HttpObjectStore
@@ -58,14 +59,15 @@
         self.targets: dict[str, TargetSpec] = {}
         self.wanted = WantedTable()
         self.peers = PeerPool(self.hello, self.client_ssl)
-        self.store = HttpObjectStore(
+        self.metrics = Metrics(settings.telemetry.statsd, settings.name)
+        store = HttpObjectStore(
             settings.platform.url,
             settings.platform.token,
             settings.platform.timeout_s,
             CallBudget(STORE_CALLS_PER_S, STORE_BURST),
         )
+        self.store = ObservedStore(store, self.metrics)
         self.trace = DecisionTrace()
-        self.metrics = Metrics(settings.telemetry.statsd, settings.name)
         self.leaving = False
 
     @property
@@ -113,6 +115,7 @@
         """Close connections."""
         self.peers.close()
         await self.store.close()
+        self.metrics.close()
 
 
 @attrs.frozen
--- /dev/null
+++ b/turmericreach/daemon/reports.py
@@ -0,0 +1,162 @@
+"""What a gateway tells operators."""
+
+import asyncio
+
+import attrs
+import msgspec
+
+from turmericreach.audit import AuditRecord
+from turmericreach.config import Confirmation
+from turmericreach.daemon.inspection import CONCURRENT_CALLS, inspect_members
+from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
+from turmericreach.daemon.lot_service import LOT
+from turmericreach.daemon.target_drain import WORK, TargetWork, WorkQuery
+from turmericreach.ownership import owner
+from turmericreach.rpc import PeerError
+from turmericreach.verdicts import ErrorCode, RequestError
+
+__all__ = ["UNWRITTEN", "Reports"]
+
+UNWRITTEN = "audit-unwritten"
+CALL_TIMEOUT_S = 3.0
+
+
+class Reports:
+    """Answers the reading calls of operators.
+
+    Parameters
+    ----------
+    gateway : GatewayDaemon
+    """
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.node = gateway.node
+
+    def status(self) -> dict:
+        """Return what this gateway knows of the deployment."""
+        now = self.node.now()
+        members = self.node.members
+        members.tick(now)
+        rows = [
+            {
+                "name": record.name,
+                "role": record.role,
+                "data_centre": record.data_centre,
+                "state": members.member_state(record.name),
+                "generation": record.generation,
+                "age_s": round(members.age_s(record.name), 1),
+            }
+            for record in members.records.values()
+        ]
+        live = {record.name: record.generation for record in members.live(now)}
+        confirmation = Confirmation.from_generations(self.node.config.generation, live)
+        fleet = self.gateway.fleet
+        down_s = now - fleet.platform_down_at if fleet.platform_up is False else 0.0
+        return {
+            "daemon": self.node.name,
+            "platform_up": fleet.platform_up,
+            "platform_down_s": round(down_s, 1),
+            "config": self.node.config.in_force_report(),
+            "confirmed": confirmation.confirmed,
+            "unconfirmed": confirmation.missing,
+            "members": sorted(rows, key=lambda row: row["name"]),
+            "duties": self.duties(now),
+            "wanted": [
+                {"model": row.model, "version": row.version, "phase": row.phase}
+                for row in self.node.wanted.rows()
+            ],
+        }
+
+    def duties(self, now: float) -> dict[str, str]:
+        """Return the holder of each duty in this gateway's view."""
+        gateways = self.node.members.gateways(now)
+        return {duty: owner(duty, gateways) or "" for duty in self.gateway.duty_watch.names()}
+
+    def target_rows(self) -> list[dict]:
+        """Return what is known of each target."""
+        rows = []
+        for name, record in sorted(self.gateway.table.records.items()):
+            model = self.node.services[record.spec.service].model
+            active = self.node.wanted.active.get(model)
+            rows.append(
+                {
+                    "target": name,
+                    "service": record.spec.service,
+                    "model": model or "",
+                    "data_centre": record.spec.data_centre,
+                    "state": str(record.state),
+                    "version": record.version,
+                    "wanted": 0 if active is None else active.version,
+                    "prepared": self.prepared(name),
+                    "load": record.load_view(),
+                    "slots": record.slots,
+                    "speed": round(record.speed or record.spec.speed, 1),
+                }
+            )
+        return rows
+
+    def prepared(self, target: str) -> int:
+        """Return the highest version that a target holds, as its agent reported it."""
+        holder = self.node.members.holder_of(target, self.node.now())
+        for status in holder.targets if holder is not None else ():
+            if status.name == target:
+                return status.prepared
+        return 0
+
+    async def target_work(self, target: str) -> dict:
+        """Return what a target has in flight, asked of its agent now."""
+        if target not in self.node.targets:
+            raise RequestError(ErrorCode.UNKNOWN_TARGET, f"no target {target}", 404)
+        body = msgspec.json.encode(WorkQuery(target))
+        try:
+            client = await self.gateway.peers.agent_of(target)
+            answer = await client.control(WORK, body, CALL_TIMEOUT_S)
+            work = msgspec.json.decode(answer, type=TargetWork)
+        except (PeerError, msgspec.DecodeError):
+            work = TargetWork(target)
+        return attrs.asdict(work)
+
+    def manifest(self) -> bytes:
+        """Return the stored revision in force, an empty object if there is none."""
+        revision = self.node.config.revision
+        return b"{}" if revision is None else revision.payload
+
+    async def list_lots(self) -> list:
+        """Return the lots of all live gateways."""
+        call = LotCall(LotOperation.LIST)
+        lots = msgspec.json.decode(await self.gateway.lots.list_local(call))
+        for body in await self.ask_gateways(LOT, msgspec.json.encode(call)):
+            lots += msgspec.json.decode(msgspec.json.decode(body, type=LotReply).body)
+        return lots
+
+    async def explain(self, subject: str) -> list[dict]:
+        """Return the decisions of all live daemons about a request or a sample."""
+        return await inspect_members(self.node, subject)
+
+    def own_unwritten(self) -> list[AuditRecord]:
+        """Return the audit records that this gateway has not written yet."""
+        return list(self.gateway.audit.pending.values())
+
+    async def unwritten_audit(self) -> list[AuditRecord]:
+        """Return the audit records that the live gateways have not written yet."""
+        records = self.own_unwritten()
+        for body in await self.ask_gateways(UNWRITTEN, b""):
+            records += msgspec.json.decode(body, type=list[AuditRecord])
+        return sorted(records, key=lambda record: record.at)
+
+    async def ask_gateways(self, kind: str, body: bytes) -> list[bytes]:
+        """Return the answers of the other live gateways; those that fail are left out."""
+        limit = asyncio.Semaphore(CONCURRENT_CALLS)
+
+        async def ask(name: str) -> bytes | None:
+            async with limit:
+                try:
+                    client = await self.node.peers.get(self.node.members.records[name].address)
+                    return await client.control(kind, body, CALL_TIMEOUT_S)
+                except (PeerError, KeyError):
+                    return None
+
+        others = self.node.members.gateways(self.node.now())
+        answers = await asyncio.gather(*(ask(name) for name in others if name != self.node.name))
+        return [answer for answer in answers if answer is not None]
--- a/turmericreach/daemon/rollout.py
+++ b/turmericreach/daemon/rollout.py
@@ -37,10 +37,13 @@
     node : Node
     take_wanted : callable
         Takes a list of `WantedVersion` that this daemon decided.
+    record : callable
+        Takes actor, action, subject, before and after of an audit record.
     """
 
-    def __init__(self, node: Node, take_wanted):
+    def __init__(self, node: Node, take_wanted, record):
         self.node = node
+        self.record = record
         self.take_wanted = take_wanted
         self.planners: dict[str, RolloutPlanner] = {}
         self.unsaved: dict[str, WantedVersion] = {}
@@ -123,6 +126,15 @@
             prepared=ready,
             targets=len(targets),
         )
+        before = str(active.version) if active is not None else "0"
+        self.record(
+            self.node.name,
+            "activate",
+            f"model/{row.model}",
+            before,
+            str(row.version),
+            f"activate-{row.model}-{row.version}-{row.change_id}",
+        )
         self.take_wanted([row])
         self.unsaved[row.model] = row
 
--- a/turmericreach/daemon/target_drain.py
+++ b/turmericreach/daemon/target_drain.py
@@ -8,9 +8,19 @@
 from turmericreach.rpc import PeerError, PeerUnreachable
 from turmericreach.verdicts import ErrorCode, RequestError, Verdict
 
-__all__ = ["DRAIN", "DRAIN_KIND", "DrainMessage", "DrainWriter", "read_drains"]
+__all__ = [
+    "DRAIN",
+    "DRAIN_KIND",
+    "WORK",
+    "DrainMessage",
+    "DrainWriter",
+    "TargetWork",
+    "WorkQuery",
+    "read_drains",
+]
 
 DRAIN = "drain"
+WORK = "work"
 DRAIN_KIND = "drains"
 CALL_TIMEOUT_S = 2.0
 
@@ -24,6 +34,30 @@
     actor: str = ""
 
 
+@attrs.frozen
+class WorkQuery:
+    """Asks an agent what a target has in flight."""
+
+    target: str
+
+
+@attrs.frozen
+class TargetWork:
+    """What a target has in flight, as its agent sees it.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether the agent answered; without that, nothing else is known.
+    """
+
+    target: str
+    answered: bool = False
+    drained: bool = False
+    running: int = 0
+    waiting: int = 0
+
+
 class DrainWriter:
     """Changes drains on behalf of operators.
 
--- a/turmericreach/manifest/__init__.py
+++ b/turmericreach/manifest/__init__.py
@@ -9,7 +9,7 @@
     encode_revision,
 )
 from turmericreach.manifest.errors import GenerationConflict, ManifestError
-from turmericreach.manifest.history import read_history, record_revision
+from turmericreach.manifest.history import HISTORY_KIND, read_history, record_revision
 from turmericreach.manifest.json_schema import manifest_schema
 from turmericreach.manifest.loader import load_manifest
 from turmericreach.manifest.revision import (
@@ -31,6 +31,7 @@
 )
 
 __all__ = [
+    "HISTORY_KIND",
     "MANIFEST_KIND",
     "MANIFEST_NAME",
     "Change",
--- a/turmericreach/security/tokens.py
+++ b/turmericreach/security/tokens.py
@@ -38,29 +38,30 @@
             (digest(entry.token), entry.name, frozenset(entry.roles)) for entry in tokens
         ]
 
-    def authorize(self, header: str | bytes | None, role: TokenRole | str) -> str:
+    def authorize(self, header: str | bytes | None, *roles: TokenRole | str) -> str:
         """Return the name of the caller.
 
         Parameters
         ----------
         header : str, bytes or None
             Value of the ``Authorization`` header.
-        role : TokenRole or str
-            Role that the request requires.
+        *roles : TokenRole or str
+            Roles of which the request requires one.
 
         Raises
         ------
         RequestError
-            With status 401 without a known token, 403 without the role.
+            With status 401 without a known token, 403 without one of the roles.
         """
         if not self.entries:
             return ANONYMOUS
         found = self.find(presented_token(header))
         if found is None:
             raise RequestError(ErrorCode.UNAUTHORIZED, "a valid bearer token is required", 401)
-        name, roles = found
-        if str(role) not in roles:
-            raise RequestError(ErrorCode.FORBIDDEN, f"{name} lacks the role {role}", 403)
+        name, held = found
+        if held.isdisjoint(str(role) for role in roles):
+            wanted = " or ".join(str(role) for role in roles)
+            raise RequestError(ErrorCode.FORBIDDEN, f"{name} lacks the role {wanted}", 403)
         return name
 
     def find(self, token: str) -> tuple[str, frozenset[str]] | None:
--- a/turmericreach/telemetry/events.py
+++ b/turmericreach/telemetry/events.py
@@ -32,13 +32,6 @@
     "stopped after {seconds:.1f} s, {abandoned} requests abandoned",
     "If requests were abandoned, raise stop_timeout_s.",
 )
-SETTINGS_REFUSED = Event(
-    "TR1005",
-    "settings_refused",
-    Level.ERROR,
-    "settings refused: {problem}",
-    "Correct the settings and start again.",
-)
 INTERNAL_ERROR = Event(
     "TR1006",
     "internal_error",
@@ -69,19 +62,12 @@
     Level.DEBUG,
     "generation {generation} from {source} is not above {current}",
 )
-APPLY_CONFLICT = Event(
-    "TR1104",
-    "apply_conflict",
-    Level.WARNING,
-    "apply by {author} from generation {expected} lost against {actual}",
-    "Make the change again from the generation in force.",
-)
 HISTORY_NOT_KEPT = Event(
     "TR1105",
     "history_not_kept",
     Level.WARNING,
     "revision {generation} was not added to the history: {error}",
-    "None; the next apply tries again.",
+    "None; the holder of the audit duty tries again.",
 )
 
 # Membership
@@ -113,6 +99,15 @@
     "Check the link between the data centres.",
 )
 
+DUTY_CHANGED = Event("TR1207", "duty_changed", Level.INFO, "duty {duty} {change}")
+PROTOCOL_REFUSED = Event(
+    "TR1208",
+    "protocol_refused",
+    Level.ERROR,
+    "{peer} refused: {reason}",
+    "Upgrade daemons one protocol version at a time.",
+)
+
 # Targets
 
 TARGET_LEAVING = Event("TR1301", "target_leaving", Level.INFO, "{target} is leaving: {reason}")
--- a/turmericreach/telemetry/metric_catalogue.py
+++ b/turmericreach/telemetry/metric_catalogue.py
@@ -22,7 +22,7 @@
 )
 TOKENS = Metric("tokens", COUNTER, "tokens", "Generated tokens.", ("target",))
 TOKENS_DISCARDED = Metric(
-    "tokens_discarded", COUNTER, "tokens", "Generated tokens thrown away.", ("reason",)
+    "tokens_discarded", COUNTER, "tokens", "Generated tokens thrown away.", ("trainer",)
 )
 STALENESS = Metric(
     "staleness", GAUGE, "versions", "Staleness of the last sample handed over.", ("trainer",)
