--- /dev/null
+++ b/tests/rpc/test_protocol.py
@@ -0,0 +1,49 @@
+"""Daemons of adjacent protocol versions work together, others refuse each other."""
+
+import capnp
+import pytest
+
+from tests.builders.peers import EchoHandler, make_hello, start_server
+from turmericreach.rpc import PeerClient, PeerFailed, PeerIncompatible
+from turmericreach.rpc.messages import inner
+
+OWN = 5
+
+
+@pytest.mark.parametrize("other", [OWN - 1, OWN, OWN + 1])
+async def test_adjacent_versions_work_together(other):
+    """Guards against an upgrade in turns that parts the fleet."""
+    async with capnp.kj_loop():
+        server, port = await start_server(EchoHandler(other))
+        client = await PeerClient.connect("127.0.0.1", port, make_hello("client", OWN))
+        assert client.peer.protocol == other
+        assert await client.control("k", b"body", 5) == b"body"
+        client.close()
+        await server.stop()
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("other", [OWN - 2, OWN + 2])
+async def test_other_versions_are_refused(other, checks):
+    """Guards against daemons that misread each other, whichever side is the one that checks."""
+    async with capnp.kj_loop():
+        handler = EchoHandler(other, checks)
+        server, port = await start_server(handler)
+        with pytest.raises(PeerIncompatible, match=r"speaks protocol \d.*this daemon speaks \d"):
+            await PeerClient.connect("127.0.0.1", port, make_hello("client", OWN))
+        await server.stop()
+
+
+async def test_calls_without_a_hello_are_refused():
+    """Guards against a refused peer that goes on and has its calls carried out."""
+    async with capnp.kj_loop():
+        handler = EchoHandler(OWN)
+        server, port = await start_server(handler)
+        stream = await capnp.AsyncIoStream.create_connection("127.0.0.1", port)
+        daemon = capnp.TwoPartyClient(stream).bootstrap().cast_as(inner.Daemon)
+        client = PeerClient(stream, None, daemon, make_hello("x", OWN), 0.0)
+        with pytest.raises(PeerFailed, match="no hello was accepted"):
+            await client.control("k", b"body", 5)
+        assert handler.bodies == []
+        client.close()
+        await server.stop()
--- a/turmericreach/audit/log.py
+++ b/turmericreach/audit/log.py
@@ -29,6 +29,7 @@
 
 CAPACITY = 4096
 FLUSH_INTERVAL_S = 1.0
+DELAY_LOG_S = 30.0
 OVERFLOW = "the buffer overflowed"
 # Segments that one flush may find full or replaced, because another daemon wrote them.
 MAX_STEPS = 4
@@ -80,6 +81,7 @@
         self.lost_since = 0.0
         self.sequence: int | None = None
         self.next_flush_at = 0.0
+        self.delay_logged_at = float("-inf")
 
     def append(self, record: AuditRecord) -> bool:
         """Add a record to the buffer; return False if it is full and the record is lost."""
@@ -97,7 +99,14 @@
             try:
                 await self.flush()
             except ObjectStoreError:
-                log_event(events.AUDIT_DELAYED, pending=len(self.pending))
+                self.report_delay(asyncio.get_running_loop().time())
+
+    def report_delay(self, now: float) -> None:
+        """Log that records wait, not more often than `DELAY_LOG_S`."""
+        if now - self.delay_logged_at < DELAY_LOG_S:
+            return
+        self.delay_logged_at = now
+        log_event(events.AUDIT_DELAYED, pending=len(self.pending))
 
     async def flush(self) -> int:
         """Write buffered records, at most once a second, and return how many are settled.
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -261,7 +261,7 @@
 
     def hello(self, hello: Hello) -> Hello:
         """Return the identity of this daemon."""
-        return self.node.hello()
+        return self.node.answer_hello(hello)
 
     async def submit(self, attempt, writer) -> Outcome:
         """Run an attempt at a target of this host."""
--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -23,7 +23,7 @@
     encode,
 )
 from turmericreach.objectstore import HostRecord, ObjectStoreError, WatchExpired
-from turmericreach.rpc import PeerError
+from turmericreach.rpc import PeerError, PeerIncompatible
 from turmericreach.telemetry import events, log_event
 from turmericreach.verdicts import ErrorCode, RequestError
 from turmericreach.weights import WantedVersion
@@ -166,6 +166,8 @@
                 more = reply.more
             if self.node.config.is_behind():
                 await self.fetch_revision(client)
+        except PeerIncompatible as error:
+            self.node.note_incompatible(address, error)
         except (PeerError, msgspec.DecodeError):
             self.node.peers.drop(address)
 
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -100,7 +100,7 @@
             listener,
             self.node.settings.limits,
             self.node.settings.stop_timeout_s,
-            self.node.server_ssl,
+            self.node.caller_ssl,
         )
         await self.http.start()
         loops = (
@@ -210,7 +210,7 @@
 
     def hello(self, hello: Hello) -> Hello:
         """Return the identity of this daemon."""
-        return self.node.hello()
+        return self.node.answer_hello(hello)
 
     async def submit(self, attempt, writer) -> Outcome:
         """Refuse an attempt: a gateway has no targets."""
--- a/turmericreach/daemon/main.py
+++ b/turmericreach/daemon/main.py
@@ -14,7 +14,7 @@
 from turmericreach.daemon.agent_daemon import AgentDaemon
 from turmericreach.daemon.gateway import GatewayDaemon
 from turmericreach.daemon.node import Node
-from turmericreach.security import TlsContexts, TlsError
+from turmericreach.security import TlsContexts, TlsError, protect_secrets
 from turmericreach.settings import DaemonSettings, Role, SettingsError, load_settings
 from turmericreach.telemetry import configure_logging, events, log_event
 
@@ -45,6 +45,7 @@
     if check:
         print(f"{settings}: ok, {loaded.role} {loaded.name} in {loaded.data_centre}")
         return 0
+    protect_secrets(secrets_of(loaded))
     configure_logging(loaded.telemetry.log_level, loaded.name, sys.stderr)
     try:
         # pycapnp 2.2.4 on uvloop ends with a segmentation fault when a peer connects and closes at
@@ -61,14 +62,20 @@
     return EXIT_SETTINGS
 
 
+def secrets_of(settings: DaemonSettings) -> list[str]:
+    """Return the secrets of the settings, which must not leave the process in any text."""
+    security = settings.security
+    tokens = [entry.token for entry in security.tokens]
+    return [*tokens, security.order_token, settings.platform.token]
+
+
 async def run_daemon(settings: DaemonSettings, tls: TlsContexts | None) -> int:
     """Run a daemon until it is told to stop."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    ssl = (tls.server, tls.client) if tls is not None else (None, None)
-    node = Node(settings, loop.time(), ssl)
+    node = Node(settings, loop.time(), tls)
     daemon = GatewayDaemon(node) if settings.role is Role.GATEWAY else AgentDaemon(node)
     log_event(
         events.DAEMON_STARTED,
--- a/turmericreach/daemon/node.py
+++ b/turmericreach/daemon/node.py
@@ -11,9 +11,10 @@
 from turmericreach.manifest import Manifest, ServiceSpec, TargetSpec
 from turmericreach.membership import MemberRecord, MemberTable
 from turmericreach.objectstore import CallBudget, HttpObjectStore
-from turmericreach.rpc import Hello, PeerPool
+from turmericreach.rpc import Hello, PeerIncompatible, PeerPool, check_protocol
+from turmericreach.security import TlsContexts
 from turmericreach.settings import DaemonSettings
-from turmericreach.telemetry import Decision, DecisionTrace, Metrics
+from turmericreach.telemetry import Decision, DecisionTrace, Metrics, events, log_event
 from turmericreach.weights import WantedTable
 
 __all__ = ["Node"]
@@ -24,6 +25,8 @@
 # it in steady state, and the bound keeps a fault of one daemon from taking everybody's share.
 STORE_CALLS_PER_S = 40.0
 STORE_BURST = 40
+REFUSED_LOG_S = 60.0
+MAX_REFUSED = 512
 
 
 class Node:
@@ -34,14 +37,16 @@
     settings : DaemonSettings
     now : float
         Loop time in seconds.
-    ssl : tuple of (server context, client context) or (None, None)
+    tls : TlsContexts or None
+        None for plain connections.
     """
 
-    def __init__(self, settings: DaemonSettings, now: float, ssl=(None, None)):
+    def __init__(self, settings: DaemonSettings, now: float, tls: TlsContexts | None = None):
         self.settings = settings
         self.started_at = now
         self.incarnation = new_incarnation()
-        self.server_ssl, self.client_ssl = ssl
+        self.server_ssl = tls.server if tls is not None else None
+        self.caller_ssl = tls.callers if tls is not None else None
         own = MemberRecord(
             name=settings.name,
             role=settings.role.value,
@@ -58,7 +63,7 @@
         self.services: dict[str, ServiceSpec] = {}
         self.targets: dict[str, TargetSpec] = {}
         self.wanted = WantedTable()
-        self.peers = PeerPool(self.hello, self.client_ssl)
+        self.peers = PeerPool(self.hello, lambda: tls.client if tls is not None else None)
         self.metrics = Metrics(settings.telemetry.statsd, settings.name)
         store = HttpObjectStore(
             settings.platform.url,
@@ -69,6 +74,7 @@
         self.store = ObservedStore(store, self.metrics)
         self.trace = DecisionTrace()
         self.leaving = False
+        self.refused_at: dict[str, float] = {}
 
     @property
     def name(self) -> str:
@@ -99,6 +105,25 @@
             clock_ms=int(self.now() * 1000),
         )
 
+    def answer_hello(self, hello: Hello) -> Hello:
+        """Return the identity for a peer that connects; raises `PeerIncompatible`."""
+        try:
+            check_protocol(hello)
+        except PeerIncompatible as error:
+            self.note_incompatible(hello.name, error)
+            raise
+        return self.hello()
+
+    def note_incompatible(self, peer: str, error: PeerIncompatible) -> None:
+        """Log a refused peer, which tries again every few seconds, not more often than that."""
+        now = self.now()
+        if now - self.refused_at.get(peer, float("-inf")) < REFUSED_LOG_S:
+            return
+        if len(self.refused_at) >= MAX_REFUSED:
+            self.refused_at.clear()
+        self.refused_at[peer] = now
+        log_event(events.PROTOCOL_REFUSED, peer=peer, reason=str(error))
+
     def install(self, manifest: Manifest) -> None:
         """Put a manifest in force for look-ups by name."""
         self.manifest = manifest
--- a/turmericreach/rpc/__init__.py
+++ b/turmericreach/rpc/__init__.py
@@ -5,10 +5,11 @@
     PeerDisconnected,
     PeerError,
     PeerFailed,
+    PeerIncompatible,
     PeerTimeout,
     PeerUnreachable,
 )
-from turmericreach.rpc.messages import PROTOCOL_VERSION, Attempt, Hello
+from turmericreach.rpc.messages import PROTOCOL_VERSION, Attempt, Hello, check_protocol
 from turmericreach.rpc.server import ChunkWriter, PeerHandler, PeerServer
 
 __all__ = [
@@ -22,8 +23,10 @@
     "PeerError",
     "PeerFailed",
     "PeerHandler",
+    "PeerIncompatible",
     "PeerPool",
     "PeerServer",
     "PeerTimeout",
     "PeerUnreachable",
+    "check_protocol",
 ]
--- a/turmericreach/rpc/client.py
+++ b/turmericreach/rpc/client.py
@@ -7,7 +7,13 @@
 import capnp
 
 from turmericreach.rpc import messages
-from turmericreach.rpc.errors import PeerDisconnected, PeerFailed, PeerTimeout, PeerUnreachable
+from turmericreach.rpc.errors import (
+    PeerDisconnected,
+    PeerFailed,
+    PeerIncompatible,
+    PeerTimeout,
+    PeerUnreachable,
+)
 from turmericreach.rpc.messages import Attempt, Hello, inner
 from turmericreach.verdicts import Outcome
 
@@ -15,6 +21,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 HELLO_TIMEOUT_S = 2.0
+# Text of `check_protocol`, by which a refused hello is told from a broken one.
+PROTOCOL_MARK = "speaks protocol"
 
 
 class ChunkHandler(Protocol):
@@ -84,6 +92,8 @@
 
         Raises
         ------
+        PeerIncompatible
+            If the peer's protocol version is not adjacent.
         PeerUnreachable
             If no connection could be made; nothing was sent.
         """
@@ -101,8 +111,16 @@
                 reply = await daemon.hello(messages.build_hello(hello))
         except (capnp.KjException, TimeoutError) as error:
             stream.close()
+            if PROTOCOL_MARK in str(error):
+                raise PeerIncompatible(f"{host}:{port} refused: {error.description}") from error
             raise PeerUnreachable(f"no hello from {host}:{port}: {error}") from error
-        return cls(stream, client, daemon, messages.read_hello(reply.hello), connected_at)
+        peer = messages.read_hello(reply.hello)
+        try:
+            messages.check_protocol(peer, hello.protocol)
+        except PeerIncompatible:
+            stream.close()
+            raise
+        return cls(stream, client, daemon, peer, connected_at)
 
     async def call(self, promise, timeout_s):
         """Wait for a call's answer and translate its errors."""
@@ -164,9 +182,18 @@
 
 
 class PeerPool:
-    """Keeps one connection for each peer address and opens it on demand."""
+    """Keeps one connection for each peer address and opens it on demand.
+
+    Parameters
+    ----------
+    hello : callable
+        Returns the own identity.
+    ssl : callable
+        Returns the `ssl.SSLContext` for the next connection, None for no TLS. It is asked each
+        time, since certificates are replaced while the daemon runs.
+    """
 
-    def __init__(self, hello: Callable[[], Hello], ssl=None):
+    def __init__(self, hello: Callable[[], Hello], ssl: Callable[[], object] = lambda: None):
         self.hello = hello
         self.ssl = ssl
         self.clients: dict[str, PeerClient] = {}
@@ -186,7 +213,7 @@
         task = self.pending.get(address)
         if task is None:
             host, _, port = address.rpartition(":")
-            connect = PeerClient.connect(host, int(port), self.hello(), self.ssl)
+            connect = PeerClient.connect(host, int(port), self.hello(), self.ssl())
             task = asyncio.ensure_future(connect)
             self.pending[address] = task
             task.add_done_callback(lambda _: self.pending.pop(address, None))
--- a/turmericreach/rpc/errors.py
+++ b/turmericreach/rpc/errors.py
@@ -2,7 +2,14 @@
 
 from turmericreach.verdicts import TurmericreachError
 
-__all__ = ["PeerDisconnected", "PeerError", "PeerFailed", "PeerTimeout", "PeerUnreachable"]
+__all__ = [
+    "PeerDisconnected",
+    "PeerError",
+    "PeerFailed",
+    "PeerIncompatible",
+    "PeerTimeout",
+    "PeerUnreachable",
+]
 
 
 class PeerError(TurmericreachError):
@@ -13,6 +20,10 @@
     """No connection could be made, so nothing was sent."""
 
 
+class PeerIncompatible(PeerUnreachable):
+    """The peer speaks a protocol version that is not adjacent; nothing but the hello was sent."""
+
+
 class PeerDisconnected(PeerError):
     """The connection ended after the call was sent; the peer may have acted on it."""
 
--- a/turmericreach/rpc/messages.py
+++ b/turmericreach/rpc/messages.py
@@ -5,9 +5,10 @@
 import attrs
 import capnp
 
+from turmericreach.rpc.errors import PeerIncompatible
 from turmericreach.verdicts import Outcome, Segment, Verdict
 
-__all__ = ["PROTOCOL_VERSION", "Attempt", "Hello", "inner"]
+__all__ = ["PROTOCOL_VERSION", "Attempt", "Hello", "check_protocol", "inner"]
 
 PROTOCOL_VERSION = 1
 
@@ -71,6 +72,24 @@
     min_version: int = 0
 
 
+def check_protocol(peer: Hello, own: int = PROTOCOL_VERSION) -> None:
+    """Accept a peer whose protocol version is the own one or adjacent to it.
+
+    A fleet is upgraded in turns, so that at any time two adjacent versions run together. Each
+    version keeps what the one before it needs, and nothing older.
+
+    Raises
+    ------
+    PeerIncompatible
+    """
+    if abs(peer.protocol - own) <= 1:
+        return
+    raise PeerIncompatible(
+        f"{peer.name or 'a peer'} speaks protocol {peer.protocol}, this daemon speaks {own} and"
+        f" works with {max(0, own - 1)} to {own + 1}"
+    )
+
+
 def fill_headers(builder, headers):
     """Write header pairs into a list builder."""
     for item, (name, value) in zip(builder, headers, strict=True):
--- a/turmericreach/security/tls.py
+++ b/turmericreach/security/tls.py
@@ -37,6 +37,8 @@
     server : ssl.SSLContext
         Context for listening sockets; it stays valid, and hands each new connection over to the
         files last read.
+    callers : ssl.SSLContext
+        The same as `server` for callers, who need no certificate.
     client : ssl.SSLContext
         Context for the next connection to a daemon; replaced when the files change.
 
@@ -52,6 +54,8 @@
         self.load()
         self.server = make_server_context(self.files)
         self.server.sni_callback = self.hand_over
+        self.callers = make_caller_context(self.files)
+        self.callers.sni_callback = self.hand_over_caller
 
     @classmethod
     def from_settings(cls, settings: SecuritySettings) -> "TlsContexts | None":
@@ -66,17 +70,23 @@
             # The stamp comes first: a change while the files are read is then found later.
             stamp = self.files.stamp()
             accepting = make_server_context(self.files)
+            accepting_callers = make_caller_context(self.files)
             client = make_client_context(self.files)
         except (OSError, ValueError) as error:
             raise TlsError(f"TLS files cannot be used: {error}") from None
         self.stamp = stamp
         self.accepting = accepting
+        self.accepting_callers = accepting_callers
         self.client = client
 
     def hand_over(self, connection, server_name, context) -> None:
         """Give a connection that is being accepted the context of the files last read."""
         connection.context = self.accepting
 
+    def hand_over_caller(self, connection, server_name, context) -> None:
+        """Give a caller's connection the context of the files last read."""
+        connection.context = self.accepting_callers
+
     def reload_if_changed(self) -> bool:
         """Read the files again if they changed, and return whether new ones are in use.
 
@@ -114,6 +124,13 @@
     return context
 
 
+def make_caller_context(files: TlsFiles) -> ssl.SSLContext:
+    """Return a context for callers, whom their tokens identify."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    load_files(context, files)
+    return context
+
+
 def make_client_context(files: TlsFiles) -> ssl.SSLContext:
     """Return a context that presents a certificate.
 
--- a/turmericreach/telemetry/log.py
+++ b/turmericreach/telemetry/log.py
@@ -14,6 +14,10 @@
 # One line has to stay far below what log collectors cut off.
 MAX_TEXT = 2000
 
+# Their lines have no code and repeat what events say; a streamed answer that was cut off on purpose
+# appears there with a traceback.
+LIBRARY_LOGGERS = ("uvicorn", "uvicorn.error", "uvicorn.access", "blacksheep", "blacksheep.server")
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -88,6 +92,9 @@
     handler.setFormatter(JsonFormatter(daemon))
     logging.set_verbosity(LEVELS[level])
     logging.set_stderrthreshold("fatal")
+    for name in LIBRARY_LOGGERS:
+        library = std_logging.getLogger(name)
+        library.setLevel(std_logging.NOTSET if level == "debug" else std_logging.CRITICAL + 1)
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- a/turmericreach/telemetry/redaction.py
+++ b/turmericreach/telemetry/redaction.py
@@ -1,8 +1,9 @@
 """Removal of secrets from text that leaves the process."""
 
 import re
+from collections.abc import Iterable
 
-__all__ = ["REDACTED", "is_secret_name", "redact"]
+__all__ = ["REDACTED", "is_secret_name", "protect_secrets", "redact"]
 
 REDACTED = "[redacted]"
 
@@ -25,8 +26,20 @@
 )
 
 
+# Shorter values would also hit ordinary words.
+MIN_SECRET = 6
+KNOWN_SECRETS: set[str] = set()
+
+
+def protect_secrets(values: Iterable[str]) -> None:
+    """Remove these values from every text as well, whatever stands around them."""
+    KNOWN_SECRETS.update(value for value in values if len(value) >= MIN_SECRET)
+
+
 def redact(text: str) -> str:
-    """Return text without bearer tokens, passwords in URLs, private keys and named secrets."""
+    """Return text without bearer tokens, passwords in URLs, private keys and known secrets."""
+    for secret in KNOWN_SECRETS:
+        text = text.replace(secret, REDACTED)
     for pattern in PATTERNS:
         text = pattern.sub(rf"\1{REDACTED}", text)
     return text
--- a/turmericreach/telemetry/trace.py
+++ b/turmericreach/telemetry/trace.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmericreach.telemetry.redaction import redact
+
 __all__ = ["Decision", "DecisionTrace"]
 
 MAX_REQUESTS = 4096
@@ -52,8 +54,8 @@
             if len(self.requests) >= self.max_requests:
                 self.requests.popitem(last=False)
             decisions = self.requests[decision.request_id] = deque(maxlen=MAX_DECISIONS)
-        evidence = decision.evidence[:MAX_EVIDENCE]
-        decisions.append(attrs.evolve(decision, evidence=evidence))
+        evidence = redact(decision.evidence[:MAX_EVIDENCE])
+        decisions.append(attrs.evolve(decision, what=redact(decision.what), evidence=evidence))
 
     def explain(self, wanted_id: str) -> list[Decision]:
         """Return the decisions about a request or an attempt, oldest first."""
