Confirm a generation only by gateways that know the fleet

Ruled out: asking every gateway, which agrees just as wrongly when all of them have just started.

Change: a gateway younger than 5 s confirms nothing, and every live daemon of the platform's list has to be a member; lines of uvicorn and blacksheep are filtered at the handler, since blacksheep sets its logger's level itself.

--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -85,6 +85,7 @@
     """Return a status answer."""
     return {
         "daemon": "g1",
+        "uptime_s": 60.0,
         "platform_up": platform_up,
         "platform_down_s": 0.0 if platform_up else 12.0,
         "config": {"generation": 1, "change_id": "c1"},
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -10,6 +10,7 @@
 from turmericreach.cli import options
 from turmericreach.cli.main import main
 from turmericreach.cli.options import ExitCode
+from turmericreach.objectstore import HostRecord, HostState
 
 TARGET = {
     "target": "t1", "service": "assistant", "model": "assistant", "data_centre": "turku",
@@ -128,6 +129,22 @@
     assert (answer["in_force"], answer["silent"]) == (["a1", "g1"], ["a2"])
 
 
+def test_wait_knows_daemons_that_the_gateway_does_not(store, gateway, manifest, capsys):
+    """Guards against a gateway that has just started and confirms for itself alone."""
+    started = {**status(member("g1", 1)), "uptime_s": 1.0}
+    gateway.answers["GET /v1/status"] = started
+    words = ["--wait", "--timeout-s", "0"]
+    assert apply(manifest, "--generation", "0", *words) == ExitCode.NOT_CONFIRMED
+    assert "g1 has just started" in capsys.readouterr().out
+    store.host_records = [
+        HostRecord("a1", "", "turku", HostState.LIVE),
+        HostRecord("a2", "", "turku", HostState.LEAVING),
+    ]
+    gateway.answers["GET /v1/status"] = status(member("g1", 2))
+    assert apply(manifest, "--generation", "1", *words) == ExitCode.NOT_CONFIRMED
+    assert "not confirmed by: a1" in capsys.readouterr().out
+
+
 def test_diff_with_the_generation_in_force(store, manifest, tmp_path, capsys):
     """Guards against a comparison with something that is not in force."""
     apply(manifest, "--generation", "0")
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import logging
 import socket
 from pathlib import Path
 
@@ -55,6 +56,17 @@
     assert "abc123" not in stream.getvalue()
 
 
+@pytest.mark.parametrize(("level", "shown"), [("info", False), ("debug", True)])
+def test_lines_of_libraries(stream, level, shown):
+    """Guards against lines without a code for each refused request."""
+    configure_logging(level, "g1", stream, strict=True)
+    library = logging.getLogger("blacksheep.server")
+    library.setLevel(logging.INFO)
+    library.info("Handled error")
+    logging.getLogger("uvicorn.error").error("Exception in ASGI application")
+    assert len(lines_of(stream)) == 2 * shown
+
+
 def test_wrong_fields(stream):
     """Guards against an event whose fields differ from the catalogue, or that fails a daemon."""
     with pytest.raises(EventFieldError, match="unknown fields .'colour'.*missing fields .'peer'"):
--- a/turmericreach/cli/manifests.py
+++ b/turmericreach/cli/manifests.py
@@ -159,12 +159,12 @@
             await record_revision(store, revision)
         except ObjectStoreError as error:
             note(f"the history could not be written, a gateway does it later: {error}")
-    value = {"generation": revision.generation, "change_id": revision.change_id}
-    done = f"generation {revision.generation} applied, change {revision.change_id}"
-    if not wait:
-        show(output, value, done)
-        return ExitCode.OK
-    answer = await wait_until_in_force(api, revision.generation, timeout_s)
+        value = {"generation": revision.generation, "change_id": revision.change_id}
+        done = f"generation {revision.generation} applied, change {revision.change_id}"
+        if not wait:
+            show(output, value, done)
+            return ExitCode.OK
+        answer = await wait_until_in_force(api, store, revision.generation, timeout_s)
     show(output, {**value, **attrs.asdict(answer)}, done, answer.line())
     return ExitCode.OK if answer.complete else ExitCode.NOT_CONFIRMED
 
--- a/turmericreach/daemon/reports.py
+++ b/turmericreach/daemon/reports.py
@@ -55,6 +55,7 @@
         down_s = now - fleet.platform_down_at if fleet.platform_up is False else 0.0
         return {
             "daemon": self.node.name,
+            "uptime_s": round(now - self.node.started_at, 1),
             "platform_up": fleet.platform_up,
             "platform_down_s": round(down_s, 1),
             "config": self.node.config.in_force_report(),
--- a/turmericreach/security/tokens.py
+++ b/turmericreach/security/tokens.py
@@ -57,7 +57,7 @@
             return ANONYMOUS
         found = self.find(presented_token(header))
         if found is None:
-            raise RequestError(ErrorCode.UNAUTHORIZED, "a valid bearer token is required", 401)
+            raise RequestError(ErrorCode.UNAUTHORIZED, "no valid token was presented", 401)
         name, held = found
         if held.isdisjoint(str(role) for role in roles):
             wanted = " or ".join(str(role) for role in roles)
--- a/turmericreach/telemetry/log.py
+++ b/turmericreach/telemetry/log.py
@@ -16,7 +16,7 @@
 
 # Their lines have no code and repeat what events say; a streamed answer that was cut off on purpose
 # appears there with a traceback.
-LIBRARY_LOGGERS = ("uvicorn", "uvicorn.error", "uvicorn.access", "blacksheep", "blacksheep.server")
+LIBRARIES = ("uvicorn", "blacksheep")
 
 LEVELS = {
     "debug": logging.DEBUG,
@@ -92,9 +92,14 @@
     handler.setFormatter(JsonFormatter(daemon))
     logging.set_verbosity(LEVELS[level])
     logging.set_stderrthreshold("fatal")
-    for name in LIBRARY_LOGGERS:
-        library = std_logging.getLogger(name)
-        library.setLevel(std_logging.NOTSET if level == "debug" else std_logging.CRITICAL + 1)
+    handler.removeFilter(hide_libraries)
+    if level != "debug":
+        handler.addFilter(hide_libraries)
+
+
+def hide_libraries(record: std_logging.LogRecord) -> bool:
+    """Return whether a record is no library's own; blacksheep sets its logger's level itself."""
+    return record.name.split(".")[0] not in LIBRARIES
 
 
 def log_event(event: Event, **fields: Any) -> None:
