Keep drains and audit records through outages and lost gateways

Cause: an agent that missed a drain message never got it, a drain set while the platform was down was never stored, a lost answer counted as not stored, and audit records of an outage vanished with their gateway.

Ruled out: a watch of drains at every agent, which costs one platform call for each of 300 agents; ordering drains by time of day alone, since the clocks of gateways differ.

Change: drains are written with a change id and ordered by the version of their object; the gateway repeats what was not confirmed or not stored. Unwritten audit records are copied to a partner gateway, which writes them under the same ids if their origin is gone, stopped or restarted.

Conclusion: what an operator changed in an outage is kept as long as one of two gateways lives.

--- a/turmericreach/audit/log.py
+++ b/turmericreach/audit/log.py
@@ -4,7 +4,7 @@
 import time
 import uuid
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from turmericreach.audit.record import GAP_ACTION, AuditRecord, bound_record
 from turmericreach.audit.segment import (
@@ -201,8 +201,17 @@
         self.last_number += 1
         return f"{self.prefix}-{self.last_number}"
 
-    async def drain(self, timeout_s: float) -> int:
-        """Write what is left before a stop; return and log the number of records not written."""
+    async def drain(
+        self, timeout_s: float, hand_over: Callable[[], Awaitable[bool]] | None = None
+    ) -> int:
+        """Write what is left before a stop; return and log the number of records lost.
+
+        Parameters
+        ----------
+        hand_over : callable, optional
+            Passes the unwritten records on to another daemon, and returns whether that has them
+            all.
+        """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         while (self.pending or self.lost) and loop.time() < end:
@@ -212,6 +221,8 @@
                     await self.flush()
             except (ObjectStoreError, TimeoutError):
                 continue
+        if self.pending and hand_over is not None and await hand_over():
+            self.pending.clear()
         left = len(self.pending) + sum(self.lost.values())
         if left:
             log_event(events.AUDIT_GAP, lost=left, reason="the daemon stopped")
--- a/turmericreach/cli/targets.py
+++ b/turmericreach/cli/targets.py
@@ -60,9 +60,11 @@
         client = OperatorClient(connection)
         answer = await client.drain(target, not lift)
         if not answer["durable"]:
-            note("the platform is down: the drain is lost if the agent restarts before it is back")
+            note(
+                "the platform is down: the change is stored when it is back, unless the gateway is lost"
+            )
         if not answer["in_force"]:
-            note("the agent did not answer: it takes the change over when it starts")
+            note("the agent did not answer: it is told as soon as it does")
         code = ExitCode.OK
         if wait:
             answer["work"] = await wait_until_idle(client, target, timeout_s)
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -55,6 +55,7 @@
         self.loops: dict[str, ConvergenceLoop] = {}
         self.loop_tasks: dict[str, asyncio.Task] = {}
         self.drained: dict[str, bool] = {}
+        self.drain_versions: dict[str, int] = {}
         self.draining_since: dict[str, float] = {}
         self.idle: set[str] = set()
         self.session = open_session()
@@ -233,13 +234,21 @@
             except ObjectStoreError:
                 await asyncio.sleep(DRAIN_RETRY_S)
                 continue
-            for target, drain in stored.items():
-                if target not in self.drained:
-                    self.set_drain(DrainMessage(target, drain))
+            for message in stored:
+                # A change that arrived before the platform answered is later than the stored one.
+                if message.target not in self.drained:
+                    self.set_drain(message)
             await asyncio.Event().wait()
 
     def set_drain(self, message: DrainMessage) -> None:
-        """Start or lift the drain of a target."""
+        """Start or lift the drain of a target; a change that a later one replaced is ignored.
+
+        A change without a version was made while the platform was down and is the latest.
+        """
+        held = self.drain_versions.get(message.target, 0)
+        if message.version and message.version <= held:
+            return
+        self.drain_versions[message.target] = max(held, message.version)
         self.drained[message.target] = message.drain
         hosted = self.attempts.targets.get(message.target)
         if hosted is None or hosted.drained == message.drain:
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -8,6 +8,7 @@
 from turmericreach.api import AnnounceRequest
 from turmericreach.attempts import CallerRequest, ClaimKeeper, RequestRunner, SentAttempt
 from turmericreach.audit import AuditLog, AuditRecord
+from turmericreach.daemon.audit_copies import AUDIT_COPY, AuditCopies
 from turmericreach.daemon.config_audit import ConfigAudit
 from turmericreach.daemon.duty_watch import DutyWatch
 from turmericreach.daemon.fleet import FleetService
@@ -76,6 +77,7 @@
         self.tokens = TokenTable(node.settings.security.tokens)
         self.drains = DrainWriter(node)
         self.duty_watch = DutyWatch(node, self.record)
+        self.copies = AuditCopies(node, self.audit)
         self.config_audit = ConfigAudit(node, self.audit)
         self.reports = Reports(self)
         self.ordinary = OrdinaryRequests(
@@ -110,6 +112,8 @@
             self.audit.run,
             self.duty_watch.run,
             self.config_audit.run,
+            self.copies.run,
+            self.drains.run,
         )
         for loop in loops:
             self.tasks.append(asyncio.ensure_future(self.fleet.supervise(loop)))
@@ -122,7 +126,7 @@
         await asyncio.sleep(LEAVE_DELAY_S)
         await self.lots.leave()
         await self.http.stop()
-        await self.audit.drain(AUDIT_DRAIN_S)
+        await self.audit.drain(AUDIT_DRAIN_S, self.copies.send)
         self.node.members.set_own(self.node.now(), state="stopped")
         self.fleet.report_now.set()
         await asyncio.sleep(0)
@@ -237,6 +241,9 @@
             return await self.lots.answer_peer(body)
         if kind == INSPECT:
             return Inspection(self.node).answer(body)
+        if kind == AUDIT_COPY:
+            self.copies.hold(body)
+            return b""
         if kind == UNWRITTEN:
             return msgspec.json.encode(self.reports.own_unwritten())
         return await self.fleet.answer(kind, body)
--- a/turmericreach/daemon/target_drain.py
+++ b/turmericreach/daemon/target_drain.py
@@ -1,11 +1,15 @@
 """Drains of targets: kept in the platform, put in force by the agents."""
 
+import asyncio
+import uuid
+
 import attrs
 import msgspec
 
 from turmericreach.daemon.node import Node
-from turmericreach.objectstore import ObjectStore, ObjectStoreError
-from turmericreach.rpc import PeerError, PeerUnreachable
+from turmericreach.objectstore import ObjectStore, ObjectStoreError, write_settled
+from turmericreach.rpc import PeerError
+from turmericreach.telemetry import events, log_event
 from turmericreach.verdicts import ErrorCode, RequestError, Verdict
 
 __all__ = [
@@ -23,15 +27,33 @@
 WORK = "work"
 DRAIN_KIND = "drains"
 CALL_TIMEOUT_S = 2.0
+STORE_TIMEOUT_S = 4.0
+RETRY_S = 1.0
+WRITE_TRIES = 5
+CLOCK_STEP_S = 0.001
 
 
 @attrs.frozen
 class DrainMessage:
-    """Starts or lifts the drain of a target."""
+    """Starts or lifts the drain of a target.
+
+    Attributes
+    ----------
+    change_id : str
+        Id of the change, by which a lost answer of the platform is settled.
+    version : int
+        Version of the stored object, which orders the changes of a target; 0 if it is not stored.
+    at : float
+        Unix time in seconds. It orders a change that could not be stored during an outage against
+        the one that is stored when the platform is back.
+    """
 
     target: str
     drain: bool
     actor: str = ""
+    change_id: str = ""
+    version: int = 0
+    at: float = 0.0
 
 
 @attrs.frozen
@@ -64,10 +86,19 @@
     Parameters
     ----------
     node : Node
+
+    Attributes
+    ----------
+    untold : dict of str to DrainMessage
+        Stored changes that the agent has not confirmed yet.
+    unstored : dict of str to DrainMessage
+        Changes in force that the platform does not hold yet.
     """
 
     def __init__(self, node: Node):
         self.node = node
+        self.untold: dict[str, DrainMessage] = {}
+        self.unstored: dict[str, DrainMessage] = {}
 
     async def drain(self, target: str, drain: bool, actor: str) -> dict:
         """Store a drain and tell the agent.
@@ -83,14 +114,17 @@
         RequestError
             If neither could be done.
         """
-        message = DrainMessage(target, drain, actor)
-        body = msgspec.json.encode(message)
-        durable = True
-        try:
-            await self.node.store.put(DRAIN_KIND, target, body)
-        except ObjectStoreError:
-            durable = False
-        in_force = await self.tell_agent(target, body)
+        at = self.node.wall_clock()
+        message = DrainMessage(target, drain, actor, uuid.uuid4().hex, at=at)
+        self.untold.pop(target, None)
+        self.unstored.pop(target, None)
+        message = await self.store(message)
+        durable = message.version > 0
+        in_force = await self.tell_agent(message)
+        if durable and not in_force:
+            self.untold[target] = message
+        if in_force and not durable:
+            self.unstored[target] = message
         if not durable and not in_force:
             raise RequestError(
                 ErrorCode.PLATFORM_UNAVAILABLE,
@@ -101,23 +135,85 @@
             )
         return {"target": target, "drain": drain, "durable": durable, "in_force": in_force}
 
-    async def tell_agent(self, target: str, body: bytes) -> bool:
+    async def store(self, message: DrainMessage) -> DrainMessage:
+        """Store a new change; the returned message has a version if the platform holds it."""
+
+        def make_value(current) -> bytes:
+            # Clocks of gateways differ, and a new change always comes after the stored one.
+            after = decode_drain(current.value).at + CLOCK_STEP_S if current is not None else 0.0
+            return msgspec.json.encode(attrs.evolve(message, at=max(message.at, after)))
+
+        try:
+            return await self.write(message.target, make_value, WRITE_TRIES)
+        except (ObjectStoreError, TimeoutError) as error:
+            name = message.target
+            log_event(events.WRITE_UNKNOWN, kind=DRAIN_KIND, name=name, error=str(error))
+            return message
+
+    async def store_late(self, message: DrainMessage) -> DrainMessage | None:
+        """Store a change of an outage unless a later one is stored; return what is stored then."""
+
+        def make_value(current) -> bytes | None:
+            if current is not None and decode_drain(current.value).at > message.at:
+                return None
+            return msgspec.json.encode(message)
+
+        try:
+            return await self.write(message.target, make_value, 1)
+        except (ObjectStoreError, TimeoutError):
+            return None
+
+    async def write(self, target: str, make_value, tries: int) -> DrainMessage:
+        """Write conditionally and return what is stored, with its version."""
+        async with asyncio.timeout(STORE_TIMEOUT_S):
+            settled = await write_settled(
+                self.node.store, DRAIN_KIND, target, make_value, change_id_of, max_tries=tries
+            )
+        stored = decode_drain(settled.stored.value)
+        return attrs.evolve(stored, version=settled.stored.version)
+
+    async def tell_agent(self, message: DrainMessage) -> bool:
         """Send a change to the agent beside the target."""
-        holder = self.node.members.holder_of(target, self.node.now())
-        address = holder.address if holder is not None else self.node.targets[target].agent
+        holder = self.node.members.holder_of(message.target, self.node.now())
+        spec = self.node.targets.get(message.target)
+        if holder is None and spec is None:
+            return False
+        address = holder.address if holder is not None else spec.agent
         try:
             client = await self.node.peers.get(address)
-            await client.control(DRAIN, body, CALL_TIMEOUT_S)
-        except (PeerError, PeerUnreachable):
+            await client.control(DRAIN, msgspec.json.encode(message), CALL_TIMEOUT_S)
+        except PeerError:
             return False
         return True
 
+    async def run(self) -> None:
+        """Tell agents that could not be reached, and store what an outage kept from it."""
+        while True:
+            await asyncio.sleep(RETRY_S)
+            for target, message in list(self.unstored.items()):
+                stored = await self.store_late(message)
+                if stored is not None and self.unstored.get(target) is message:
+                    del self.unstored[target]
+                    self.untold[target] = stored
+            for target, message in list(self.untold.items()):
+                known = target in self.node.targets
+                if (not known or await self.tell_agent(message)) and (
+                    self.untold.get(target) is message
+                ):
+                    del self.untold[target]
+
+
+def decode_drain(value: bytes) -> DrainMessage:
+    """Return a stored drain without its version."""
+    return msgspec.json.decode(value, type=DrainMessage)
+
+
+def change_id_of(value: bytes) -> str:
+    """Return the change id of a stored drain."""
+    return decode_drain(value).change_id
+
 
-async def read_drains(store: ObjectStore) -> dict[str, bool]:
-    """Return the stored drains by target; raises `ObjectStoreError`."""
+async def read_drains(store: ObjectStore) -> list[DrainMessage]:
+    """Return the stored drains; raises `ObjectStoreError`."""
     listing = await store.list(DRAIN_KIND)
-    drains = {}
-    for item in listing.items:
-        message = msgspec.json.decode(item.value, type=DrainMessage)
-        drains[message.target] = message.drain
-    return drains
+    return [attrs.evolve(decode_drain(item.value), version=item.version) for item in listing.items]
