Make the library-lines test independent of other tests' log configuration

Cause: it passed alone and failed in the whole run, where uvicorn servers of other tests had switched propagation off. Change: the test sets what it needs.

--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -57,8 +57,12 @@
 
 
 @pytest.mark.parametrize(("level", "shown"), [("info", False), ("debug", True)])
-def test_lines_of_libraries(stream, level, shown):
+def test_lines_of_libraries(stream, level, shown, monkeypatch):
     """Guards against lines without a code for each refused request."""
+    # Servers of other tests in this process use uvicorn's own log configuration; daemons do not.
+    for name in ("uvicorn", "uvicorn.error"):
+        monkeypatch.setattr(logging.getLogger(name), "propagate", True)
+        monkeypatch.setattr(logging.getLogger(name), "level", logging.NOTSET)
     configure_logging(level, "g1", stream, strict=True)
     library = logging.getLogger("blacksheep.server")
     library.setLevel(logging.INFO)
--- a/turmericreach/cli/targets.py
+++ b/turmericreach/cli/targets.py
@@ -60,9 +60,7 @@
         client = OperatorClient(connection)
         answer = await client.drain(target, not lift)
         if not answer["durable"]:
-            note(
-                "the platform is down: the change is stored when it is back, unless the gateway is lost"
-            )
+            note("the platform is down: the gateway stores the change when it is back")
         if not answer["in_force"]:
             note("the agent did not answer: it is told as soon as it does")
         code = ExitCode.OK
