--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -58,7 +58,12 @@
     """Return a function that calls a bound method; blacksheep marks handlers with attributes."""
 
     async def handler(request: Request) -> Response:
-        return await method(request)
+        try:
+            return await method(request)
+        except RequestError as error:
+            if error.code == ErrorCode.BODY_TOO_LARGE:
+                log_event(events.BODY_REFUSED, reason=error.message)
+            raise
 
     return handler
 
@@ -70,8 +75,6 @@
 
 async def handle_request_error(app, request: Request, error: RequestError) -> Response:
     """Answer an error with a stable code."""
-    if error.code == ErrorCode.BODY_TOO_LARGE:
-        log_event(events.BODY_REFUSED, reason=error.message)
     return error_response(error, getattr(error, "request_id", ""))
 
 
