Gate calls without a hello in a handler of its own; print a lot run's result

Cause: the gate inside DaemonServer touched every call of the protocol server. Change: HelloGate wraps the handler of one connection; lot run ends with one line or a JSON object like every other command. Conclusion: the protocol server only converts messages.

--- a/turmericreach/cli/lots.py
+++ b/turmericreach/cli/lots.py
@@ -38,6 +38,7 @@
     scoring_path: str = "/score",
     trainer_version: int = 1,
     cursor: Annotated[Path | None, Parameter(help="File that keeps the cursor.")] = None,
+    output: Output = Output.TABLE,
     api: Api = Api(),  # noqa: B008 - cyclopts reads the default
 ) -> int:
     """Declare a lot and write its samples to a file until all have arrived.
@@ -65,6 +66,8 @@
         with out.open("ab" if saved.count() else "wb") as stream:
             await write_samples(lot, stream, cursor)
         await lot.acknowledge()
+    result = {"lot": name, "samples": spec.size, "durable": lot.durable, "out": str(out)}
+    show(output, result, f"lot {name}: {spec.size} samples in {out}")
     return ExitCode.OK
 
 
--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -16,10 +16,10 @@
 
 __all__ = ["build_app"]
 
+TRAINER, OPERATOR = TokenRole.TRAINER, TokenRole.OPERATOR
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 JSON = b"application/json"
 SMALL_BODY_BYTES = 4096
-TRAINER, OPERATOR = TokenRole.TRAINER, TokenRole.OPERATOR
 
 
 def build_app(gateway) -> Application:
--- a/turmericreach/rpc/server.py
+++ b/turmericreach/rpc/server.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from turmericreach.rpc import messages
-from turmericreach.rpc.errors import PeerIncompatible
+from turmericreach.rpc.gate import HelloGate
 from turmericreach.rpc.messages import Attempt, Hello, inner
 from turmericreach.verdicts import Outcome
 
@@ -58,39 +58,27 @@
 
     def __init__(self, handler):
         self.handler = handler
-        self.accepted = False
 
     async def hello(self, hello, **kwargs):
         """Exchange identities."""
-        answer = self.handler.hello(messages.read_hello(hello))
-        self.accepted = True
-        return messages.build_hello(answer)
-
-    def require_hello(self):
-        """Refuse calls of a peer whose protocol was not accepted; nothing is done for it."""
-        if not self.accepted:
-            raise PeerIncompatible("no hello was accepted on this connection")
+        return messages.build_hello(self.handler.hello(messages.read_hello(hello)))
 
     async def submit(self, attempt, sink, **kwargs):
         """Run an attempt."""
-        self.require_hello()
         outcome = await self.handler.submit(messages.read_attempt(attempt), ChunkWriter(sink))
         return messages.build_outcome(outcome)
 
     async def settle(self, attemptId, incarnation, deadlineMs, waitMs, **kwargs):  # noqa: N803
         """Settle an attempt."""
-        self.require_hello()
         outcome = await self.handler.settle(attemptId, incarnation, deadlineMs, waitMs / 1000)
         return messages.build_outcome(outcome)
 
     async def cancel(self, attemptId, **kwargs):  # noqa: N803
         """Cancel an attempt."""
-        self.require_hello()
         await self.handler.cancel(attemptId)
 
     async def control(self, kind, body, **kwargs):
         """Answer a control message."""
-        self.require_hello()
         return await self.handler.control(kind, bytes(body))
 
 
@@ -118,7 +106,7 @@
         """Serve one connection until the peer closes it."""
         self.connections.add(stream)
         try:
-            server = capnp.TwoPartyServer(stream, bootstrap=DaemonServer(self.handler))
+            server = capnp.TwoPartyServer(stream, bootstrap=DaemonServer(HelloGate(self.handler)))
             await server.on_disconnect()
         except (capnp.KjException, OSError) as error:
             logging.debug("peer connection ended: %s", error)
