--- a/tests/daemon/test_hosted.py
+++ b/tests/daemon/test_hosted.py
@@ -15,6 +15,7 @@
     ServiceSpec,
     TargetSpec,
 )
+from turmericreach.telemetry import Metrics
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
 pytestmark = pytest.mark.looptime
@@ -33,7 +34,7 @@
     spec = TargetSpec("t1", "orders", "a", "http://10.0.0.1", "10.0.0.1:7400", 1)
     manifest = Manifest(1, "d", [DataCentre("a")], [service], [spec])
     server = AttemptServer(AttemptTable("a", 1))
-    target = HostedTarget(spec, service, manifest, server.table, None, None, 0.0)
+    target = HostedTarget(spec, service, manifest, server.table, None, None, 0.0, Metrics("", "a"))
     target.adapter = SlowAdapter()
     server.targets["t1"] = target
     return server, target
--- a/tests/daemon/test_lots.py
+++ b/tests/daemon/test_lots.py
@@ -16,6 +16,7 @@
 from turmericreach.lots import Cursor, PullResult, encode_lot
 from turmericreach.manifest.schema import Policy
 from turmericreach.rpc import PeerTimeout
+from turmericreach.telemetry import Metrics
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
 
 pytestmark = pytest.mark.looptime
@@ -70,6 +71,7 @@
             store=self.store,
             peers=types.SimpleNamespace(get=self.get),
             decide=lambda *args: None,
+            metrics=Metrics("", name),
         )
         return LotService(node, lambda spec: self.context())
 
--- a/turmericreach/audit/log.py
+++ b/turmericreach/audit/log.py
@@ -4,7 +4,7 @@
 import time
 import uuid
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from turmericreach.audit.record import GAP_ACTION, AuditRecord, bound_record
 from turmericreach.audit.segment import (
@@ -29,6 +29,7 @@
 
 CAPACITY = 4096
 FLUSH_INTERVAL_S = 1.0
+DELAY_LOG_S = 30.0
 OVERFLOW = "the buffer overflowed"
 # Segments that one flush may find full or replaced, because another daemon wrote them.
 MAX_STEPS = 4
@@ -54,6 +55,8 @@
         Records that may wait.
     clock : callable
         Returns Unix time in seconds, for gap records.
+    on_lost : callable, optional
+        Takes the number of records that were lost.
     """
 
     def __init__(
@@ -63,12 +66,14 @@
         daemon: str,
         capacity: int = CAPACITY,
         clock: Callable[[], float] = time.time,
+        on_lost: Callable[[int], None] | None = None,
     ):
         self.store = store
         self.data_centre = data_centre
         self.daemon = daemon
         self.capacity = capacity
         self.clock = clock
+        self.on_lost = on_lost
         self.prefix = f"{daemon}-{uuid.uuid4().hex[:12]}"
         self.last_number = 0
         self.pending: OrderedDict[str, AuditRecord] = OrderedDict()
@@ -76,6 +81,7 @@
         self.lost_since = 0.0
         self.sequence: int | None = None
         self.next_flush_at = 0.0
+        self.delay_logged_at = float("-inf")
 
     def append(self, record: AuditRecord) -> bool:
         """Add a record to the buffer; return False if it is full and the record is lost."""
@@ -93,7 +99,14 @@
             try:
                 await self.flush()
             except ObjectStoreError:
-                log_event(events.AUDIT_DELAYED, pending=len(self.pending))
+                self.report_delay(asyncio.get_running_loop().time())
+
+    def report_delay(self, now: float) -> None:
+        """Log that records wait, not more often than `DELAY_LOG_S`."""
+        if now - self.delay_logged_at < DELAY_LOG_S:
+            return
+        self.delay_logged_at = now
+        log_event(events.AUDIT_DELAYED, pending=len(self.pending))
 
     async def flush(self) -> int:
         """Write buffered records, at most once a second, and return how many are settled.
@@ -169,6 +182,8 @@
         if reason not in self.lost:
             log_event(events.AUDIT_GAP, lost=count, reason=reason)
         self.lost[reason] = self.lost.get(reason, 0) + count
+        if self.on_lost is not None:
+            self.on_lost(count)
 
     def add_gaps(self) -> None:
         """Put gap records into the buffer when there is room."""
@@ -186,8 +201,17 @@
         self.last_number += 1
         return f"{self.prefix}-{self.last_number}"
 
-    async def drain(self, timeout_s: float) -> int:
-        """Write what is left before a stop; return and log the number of records not written."""
+    async def drain(
+        self, timeout_s: float, hand_over: Callable[[], Awaitable[bool]] | None = None
+    ) -> int:
+        """Write what is left before a stop; return and log the number of records lost.
+
+        Parameters
+        ----------
+        hand_over : callable, optional
+            Passes the unwritten records on to another daemon, and returns whether that has them
+            all.
+        """
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
         while (self.pending or self.lost) and loop.time() < end:
@@ -197,6 +221,8 @@
                     await self.flush()
             except (ObjectStoreError, TimeoutError):
                 continue
+        if self.pending and hand_over is not None and await hand_over():
+            self.pending.clear()
         left = len(self.pending) + sum(self.lost.values())
         if left:
             log_event(events.AUDIT_GAP, lost=left, reason="the daemon stopped")
--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -6,8 +6,9 @@
 import attrs
 import msgspec
 
-from turmericreach.config import Accepted, Contradiction, Revision, Source
+from turmericreach.config import Accepted, Contradiction, Ignored, Revision, Source
 from turmericreach.daemon.exchanges import Exchanges
+from turmericreach.daemon.member_watch import MemberWatch
 from turmericreach.daemon.node import Node
 from turmericreach.daemon.revisions import decode_for_state, manifest_of
 from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME, ManifestError
@@ -23,7 +24,7 @@
     encode,
 )
 from turmericreach.objectstore import HostRecord, ObjectStoreError, WatchExpired
-from turmericreach.rpc import PeerError
+from turmericreach.rpc import PeerError, PeerIncompatible
 from turmericreach.telemetry import events, log_event
 from turmericreach.verdicts import ErrorCode, RequestError
 from turmericreach.weights import WantedVersion
@@ -70,6 +71,7 @@
         self.platform_down_at = node.started_at
         self.report_now = asyncio.Event()
         self.exchanges = Exchanges()
+        self.member_watch = MemberWatch(node, self.is_relay)
 
     def start(self) -> None:
         """Start all loops."""
@@ -79,6 +81,7 @@
             self.hosts_loop,
             self.manifest_loop,
             self.weights_loop,
+            self.member_watch.run,
         ]
         for loop in loops:
             self.tasks.append(asyncio.ensure_future(self.supervise(loop)))
@@ -167,6 +170,8 @@
                 more = reply.more
             if self.node.config.is_behind():
                 await self.fetch_revision(client)
+        except PeerIncompatible as error:
+            self.node.note_incompatible(address, error)
         except (PeerError, msgspec.DecodeError):
             self.node.peers.drop(address)
 
@@ -329,6 +334,7 @@
                         take(event.name, event.value)
                 revision = result.revision
             except WatchExpired:
+                log_event(events.WATCH_EXPIRED, kind=kind, revision=revision)
                 revision = None
             except ObjectStoreError as error:
                 revision = None
@@ -356,6 +362,13 @@
                 generation=answer.dropped.generation,
                 problem=f"two changes of one generation, kept {answer.kept.change_id}",
             )
+        if isinstance(answer, Ignored):
+            log_event(
+                events.GENERATION_IGNORED,
+                generation=revision.generation,
+                source=source,
+                current=answer.generation,
+            )
         if not isinstance(answer, Accepted) and not (
             isinstance(answer, Contradiction) and answer.replaced
         ):
--- a/turmericreach/daemon/lot_calls.py
+++ b/turmericreach/daemon/lot_calls.py
@@ -37,6 +37,8 @@
         Whether the lot of a hand-over is not stored in the platform yet.
     cancelled : bool
         Whether the lot of a hand-over was cancelled.
+    actor : str
+        Who makes the call, for the audit trail.
     """
 
     operation: LotOperation
@@ -46,6 +48,7 @@
     spec: bytes = b""
     pending: bool = False
     cancelled: bool = False
+    actor: str = ""
 
     def wait_s(self) -> float:
         """Return the seconds that the call may wait."""
--- a/turmericreach/rpc/server.py
+++ b/turmericreach/rpc/server.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from turmericreach.rpc import messages
+from turmericreach.rpc.gate import HelloGate
 from turmericreach.rpc.messages import Attempt, Hello, inner
 from turmericreach.verdicts import Outcome
 
@@ -35,7 +36,7 @@
     """What a daemon does with the calls of its peers."""
 
     def hello(self, hello: Hello) -> Hello:
-        """Return the identity of this daemon."""
+        """Return the identity of this daemon; raises `PeerIncompatible` to refuse the peer."""
 
     async def submit(self, attempt: Attempt, writer: ChunkWriter) -> Outcome:
         """Run an attempt at a target of this host."""
@@ -116,7 +117,7 @@
         """Serve one connection until the peer closes it."""
         self.connections.add(stream)
         try:
-            server = capnp.TwoPartyServer(stream, bootstrap=DaemonServer(self.handler))
+            server = capnp.TwoPartyServer(stream, bootstrap=DaemonServer(HelloGate(self.handler)))
             await server.on_disconnect()
         except (capnp.KjException, OSError) as error:
             logging.debug("peer connection ended: %s", error)
--- a/turmericreach/telemetry/log.py
+++ b/turmericreach/telemetry/log.py
@@ -14,6 +14,10 @@
 # One line has to stay far below what log collectors cut off.
 MAX_TEXT = 2000
 
+# Their lines have no code and repeat what events say; a streamed answer that was cut off on purpose
+# appears there with a traceback.
+LIBRARIES = ("uvicorn", "blacksheep")
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -88,6 +92,14 @@
     handler.setFormatter(JsonFormatter(daemon))
     logging.set_verbosity(LEVELS[level])
     logging.set_stderrthreshold("fatal")
+    handler.removeFilter(hide_libraries)
+    if level != "debug":
+        handler.addFilter(hide_libraries)
+
+
+def hide_libraries(record: std_logging.LogRecord) -> bool:
+    """Return whether a record is no library's own; blacksheep sets its logger's level itself."""
+    return record.name.split(".")[0] not in LIBRARIES
 
 
 def log_event(event: Event, **fields: Any) -> None:
