Test the adapters of targets against every fault and fix what they missed

Cause: the adapters had no tests.

Ruled out: passing answers without a declared length on and cutting the caller off at the end; the caller could then never get a whole answer from such a target, and the error names the cause.

Change: bounded read_answer, checks of each JSON shape, only the finish reasons stop and length are whole, background cancellations are referenced until they end, the headers that Connection names are dropped.

--- /dev/null
+++ b/tests/targets/test_engine.py
@@ -0,0 +1,238 @@
+"""The contract of `OpenAIEngine`, against the engine stand-in and raw answers."""
+
+import asyncio
+import contextlib
+import json
+
+import attrs
+import pytest
+
+from tests.builders.rawserver import RawServer
+from tests.standins.calls import running_of, serving, set_faults, until
+from turmericreach.httpclient import open_session
+from turmericreach.targets import (
+    EngineError,
+    EngineOrder,
+    GenerationRequest,
+    OpenAIEngine,
+    OrderKind,
+    OrderRefused,
+)
+from turmericreach.verdicts import ErrorCode, Segment, Verdict
+from turmericreach_standins.engine import EngineSettings, create_engine, versions_of_text
+
+FAST = {"tokens_per_s": 500, "swap_s": 0.05, "load_lag_s": 0.0, "length_sigma": 0.0}
+REQUEST = GenerationRequest("r1", "cue note", max_tokens=20, seed=5)
+
+
+@contextlib.asynccontextmanager
+async def engine_on(**settings):
+    stand_in = create_engine(EngineSettings(**FAST | settings), seed=3)
+    async with serving(stand_in) as server, open_session() as session:
+        yield server, OpenAIEngine(server.url, session, "model")
+
+
+def order(kind, version=0, fencing=1, **fields):
+    return EngineOrder(OrderKind(kind), version, fencing, **fields)
+
+
+async def test_completion_is_labelled():
+    """Guards against a label that differs from what the engine generated."""
+    async with engine_on() as (_, engine):
+        generation = await engine.generate(REQUEST)
+    assert (generation.tokens, generation.finish_reason) == (20, "length")
+    assert generation.segments == [Segment(1, 20)]
+    assert generation.labelled
+    assert versions_of_text(generation.text, "cue note", 5) == [1] * 20
+
+
+async def test_swap_in_the_middle_of_a_sample_gives_two_segments():
+    """Guards against a sample that names only one of the versions that produced it."""
+    async with engine_on(tokens_per_s=100) as (server, engine):
+        await engine.order(order("prepare", 2))
+        running = asyncio.create_task(engine.generate(REQUEST))
+        await until(running_of, server)
+        await asyncio.sleep(0.05)
+        assert (await engine.order(order("activate", 2, 2))).version == 2
+        generation = await running
+    assert [segment.version for segment in generation.segments] == [1, 2]
+    truth = versions_of_text(generation.text, "cue note", 5)
+    assert [truth.count(1), truth.count(2)] == [s.tokens for s in generation.segments]
+
+
+async def test_missing_version_leaves_the_sample_unlabelled():
+    """Guards against a guessed label."""
+    async with engine_on() as (server, engine):
+        await set_faults(server, omit_version=True)
+        generation = await engine.generate(REQUEST)
+    assert not generation.labelled
+    assert generation.segments == []
+
+
+async def test_dropped_stream_is_no_completion_and_can_be_resumed():
+    """Guards against half a completion, and against a resumed one with another text."""
+    async with engine_on() as (server, engine):
+        whole = await engine.generate(attrs.evolve(REQUEST, request_id="r0"))
+        await set_faults(server, drop_stream_after=7)
+        with pytest.raises(EngineError) as caught:
+            await engine.generate(REQUEST)
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        await set_faults(server, drop_stream_after=None)
+        await until(lambda: idle(server))
+        assert await engine.resume("r1", 0) == whole
+
+
+async def idle(server):
+    return await running_of(server) == 0
+
+
+async def test_cancel_frees_the_slot():
+    """Guards against an abandoned completion that keeps its slot."""
+    async with engine_on(slots=1, tokens_per_s=1) as (server, engine):
+        running = asyncio.create_task(engine.generate(REQUEST))
+        await until(running_of, server)
+        running.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await running
+        async with asyncio.timeout(1.0):
+            await until(lambda: idle(server))
+
+
+async def test_completion_cancelled_at_the_engine_is_not_whole():
+    """Guards against a cancelled completion that is delivered as a finished one."""
+    async with engine_on(tokens_per_s=50) as (server, engine):
+        running = asyncio.create_task(engine.generate(REQUEST))
+        await until(running_of, server)
+        await engine.cancel("r1")
+        with pytest.raises(EngineError, match="cancelled"):
+            await running
+
+
+async def test_full_queue_is_not_run():
+    """Guards against a refusal that costs a retry budget for work that may have run."""
+    async with engine_on(slots=1, queue=1, tokens_per_s=5) as (server, engine):
+        tasks = [
+            asyncio.create_task(engine.generate(attrs.evolve(REQUEST, request_id=f"r{n}")))
+            for n in range(2)
+        ]
+        await until(running_of, server)
+        with pytest.raises(EngineError) as caught:
+            await engine.generate(attrs.evolve(REQUEST, request_id="late"))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    assert (caught.value.verdict, caught.value.code) == (Verdict.NOT_RUN, ErrorCode.OVERLOADED)
+    assert caught.value.retry_after_s > 0
+
+
+async def test_errors_of_the_engine():
+    """Guards against a wrong verdict for a failed engine and for one that is gone."""
+    async with engine_on() as (server, engine):
+        await set_faults(server, error_rate=1)
+        with pytest.raises(EngineError) as caught:
+            await engine.generate(REQUEST)
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        await server.stop()
+        for call in (engine.generate(REQUEST), engine.version()):
+            with pytest.raises(EngineError) as caught:
+                await call
+            assert caught.value.verdict is Verdict.NOT_RUN
+
+
+async def test_kv_cache_moves_to_another_engine():
+    """Guards against a moved sequence that loses tokens or their versions."""
+    async with engine_on() as (server, first), engine_on(version=4) as (_, second):
+        whole = await first.generate(attrs.evolve(REQUEST, request_id="r0"))
+        await set_faults(server, drop_stream_after=7)
+        with pytest.raises(EngineError):
+            await first.generate(attrs.evolve(REQUEST, request_id="a/b?c"))
+        await until(lambda: idle(server))
+        data = await first.export_kv("a/b?c")
+        await second.import_kv("a/b?c", data)
+        moved = await second.resume("a/b?c", 0)
+        assert moved.tokens == whole.tokens == 20
+        assert [segment.version for segment in moved.segments] == [1, 4]
+        assert len(json.loads(data)["tokens"]) == moved.segments[0].tokens
+
+
+async def test_orders():
+    """Guards against an order that is refused or goes wrong unnoticed."""
+    async with engine_on(check_orders="secret") as (server, engine):
+        with pytest.raises(EngineError, match="403"):
+            await engine.order(order("prepare", 2))
+        token = {"token": "secret"}
+        state = await engine.order(order("prepare", 2, 5, **token))
+        assert (state.version, state.prepared) == (1, [1, 2])
+        with pytest.raises(OrderRefused) as caught:
+            await engine.order(order("activate", 2, 4, **token))
+        assert (caught.value.verdict, caught.value.fencing) == (Verdict.NOT_RUN, 5)
+        await set_faults(server, fail_swaps=1)
+        with pytest.raises(EngineError) as caught:
+            await engine.order(order("activate", 2, 6, **token))
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        assert (await engine.version()).version == 1
+        await set_faults(server, wrong_swap=1)
+        wrong = await engine.order(order("activate", 2, 7, **token))
+        assert wrong.version == (await engine.version()).version != 2
+        assert (await engine.order(order("activate", 2, 8, **token))).version == 2
+        await engine.order(order("load_adapter", fencing=9, argument="a", **token))
+        await engine.order(order("role", fencing=9, argument="decode", **token))
+
+
+def stream(*events, end=b"data: [DONE]\n\n"):
+    """An answer with events that follow a whole one."""
+    whole = b'{"choices":[{"text":"a","finish_reason":"stop"}],"weight_version":1,"tokens":1}'
+    body = b"".join(b"data: " + event + b"\n\n" for event in (whole, *events)) + end
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+BAD_STREAMS = {
+    "no end mark": stream(end=b""),
+    "no JSON": stream(b"{"),
+    "no object": stream(b"3"),
+    "no choices": stream(b"{}"),
+    "empty choices": stream(b'{"choices":[]}'),
+    "choice of a wrong type": stream(b'{"choices":[3]}'),
+    "text of a wrong type": stream(b'{"choices":[{"text":3}]}'),
+    "reason of a wrong type": stream(b'{"choices":[{"finish_reason":[1]}]}'),
+    "not UTF-8": stream(b'{"choices":[{"text":"\xff"}]}'),
+    "very deep": stream(b"[" * 100_000),
+    "cancelled": stream(b'{"choices":[{"text":"","finish_reason":"abort"}]}'),
+    "cut off": stream()[:-3],
+    "without a length": stream().replace(b"Content-Length", b"X-Length"),
+}
+
+
+@pytest.mark.parametrize("case", BAD_STREAMS)
+async def test_bad_stream_is_no_completion(case):
+    """Guards against another exception, or a completion made of a broken stream."""
+    async with RawServer(BAD_STREAMS[case]) as server, open_session(reuse=False) as session:
+        with pytest.raises(EngineError) as caught:
+            await OpenAIEngine(server.url, session).generate(REQUEST)
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{",
+        b"\xff",
+        b"[" * 100_000,
+        b'{"version":true,"running":"1"}',
+        b'{"version":1,"prepared":[null],"slots":-1}',
+        b'{"version":1e3,"running":NaN}',
+        b'{"version":99999999999999999999,"running":99999999999999999999}',
+    ],
+)
+async def test_malformed_control_answers(body):
+    """Guards against another exception, or a version that the engine did not name."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    async with RawServer(answer) as server, open_session(reuse=False) as session:
+        engine = OpenAIEngine(server.url, session)
+        with pytest.raises(EngineError):
+            await engine.version()
+        if body:
+            with pytest.raises(EngineError):
+                await engine.load()
--- a/turmericreach/httpclient/__init__.py
+++ b/turmericreach/httpclient/__init__.py
@@ -5,6 +5,7 @@
     AnswerTooLarge,
     check_length_known,
     read_answer,
+    retry_after_s,
 )
 from turmericreach.httpclient.session import open_session
 
@@ -14,4 +15,5 @@
     "check_length_known",
     "open_session",
     "read_answer",
+    "retry_after_s",
 ]
--- a/turmericreach/httpclient/answer.py
+++ b/turmericreach/httpclient/answer.py
@@ -1,11 +1,14 @@
 """Reading answers whole and within a bound."""
 
+import math
+
 import aiohttp
 
 from turmericreach.verdicts import TurmericreachError
 
-__all__ = ["AnswerCutOff", "AnswerTooLarge", "check_length_known", "read_answer"]
+__all__ = ["AnswerCutOff", "AnswerTooLarge", "check_length_known", "read_answer", "retry_after_s"]
 
+MAX_RETRY_AFTER_S = 60.0
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -60,3 +63,14 @@
             raise AnswerTooLarge(f"the answer is larger than {max_bytes} bytes")
         parts.append(part)
     return b"".join(parts)
+
+
+def retry_after_s(response: aiohttp.ClientResponse, default_s: float = 0.0) -> float:
+    """Return the seconds of a ``Retry-After`` header within bounds, or a default."""
+    try:
+        seconds = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        return default_s
+    if not math.isfinite(seconds):
+        return default_s
+    return min(max(seconds, 0.0), MAX_RETRY_AFTER_S)
--- a/turmericreach/objectstore/http.py
+++ b/turmericreach/objectstore/http.py
@@ -1,13 +1,12 @@
 """The object API over HTTP."""
 
 import asyncio
-import math
 from urllib.parse import quote
 
 import aiohttp
 import yarl
 
-from turmericreach.httpclient import AnswerTooLarge, open_session, read_answer
+from turmericreach.httpclient import AnswerTooLarge, open_session, read_answer, retry_after_s
 from turmericreach.objectstore import wire
 from turmericreach.objectstore.budget import CallBudget
 from turmericreach.objectstore.errors import (
@@ -30,7 +29,6 @@
 __all__ = ["HttpObjectStore"]
 
 DEFAULT_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 60.0
 # A listing holds many values, in base64.
 MAX_LISTING_BYTES = 64 * 1024 * 1024
 
@@ -226,7 +224,7 @@
 def check_status(response: aiohttp.ClientResponse) -> None:
     """Raise for the statuses that mean the same for every call."""
     if response.status == 429:
-        raise RateLimited(retry_after_s(header(response, "Retry-After")))
+        raise RateLimited(retry_after_s(response, DEFAULT_RETRY_AFTER_S))
     if response.status == 413:
         raise ValueTooLarge("the object API refused the size of the value")
     if response.status == 503:
@@ -235,17 +233,6 @@
         raise ResultUnknown(f"the object API answered {response.status}")
 
 
-def retry_after_s(text: str) -> float:
-    """Return the seconds of a Retry-After header within bounds."""
-    try:
-        seconds = float(text)
-    except ValueError:
-        return DEFAULT_RETRY_AFTER_S
-    if not math.isfinite(seconds):
-        return DEFAULT_RETRY_AFTER_S
-    return min(max(seconds, 0.0), MAX_RETRY_AFTER_S)
-
-
 def expect(response: aiohttp.ClientResponse, *statuses: int) -> None:
     """Raise if the status is none of the expected ones."""
     if response.status not in statuses:
--- a/turmericreach/targets/openai.py
+++ b/turmericreach/targets/openai.py
@@ -4,9 +4,16 @@
 import contextlib
 import json
 from collections.abc import AsyncIterator
+from urllib.parse import quote
 
 import aiohttp
 
+from turmericreach.httpclient import (
+    AnswerTooLarge,
+    check_length_known,
+    read_answer,
+    retry_after_s,
+)
 from turmericreach.targets.engine import (
     EngineError,
     EngineLoad,
@@ -26,6 +33,13 @@
 # A download of weights into the engine's memory may take long; the caller's pacing bounds it.
 ORDER_TIMEOUT_S = 120.0
 CANCEL_TIMEOUT_S = 2.0
+MAX_CONTROL_BYTES = 4 * 1024 * 1024
+MAX_ERROR_BYTES = 64 * 1024
+MAX_KV_BYTES = 64 * 1024 * 1024
+MAX_COMPLETION_CHARS = 8 * 1024 * 1024
+# Other reasons, such as "cancelled" or "abort", mark a completion that lacks its end.
+WHOLE_FINISH_REASONS = ("stop", "length")
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 DATA_PREFIX = b"data:"
 END_OF_STREAM = b"[DONE]"
 REFUSED_STATUSES = (429, 503)
@@ -49,6 +63,8 @@
         self.url = url.rstrip("/")
         self.session = session
         self.model = model
+        # The loop itself holds only weak references to tasks.
+        self.cancellations: set[asyncio.Task] = set()
 
     async def generate(self, request: GenerationRequest) -> Generation:
         """Generate a completion; cancelling the call cancels it at the engine."""
@@ -76,12 +92,14 @@
                 self.url + path, json=body, allow_redirects=False
             ) as response:
                 await check_generation_status(response)
+                check_length_known(response)
                 return await collect_generation(response.content)
-        except aiohttp.ClientConnectorError as error:
+        except NOT_SENT_ERRORS as error:
             raise EngineError(
                 ErrorCode.TARGET_UNREACHABLE, f"nothing sent: {error}", Verdict.NOT_RUN
             ) from error
-        except (aiohttp.ClientError, ValueError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, AnswerTooLarge, ValueError, OSError) as error:
+            self.cancel_in_background(request_id)
             raise EngineError(
                 ErrorCode.TARGET_FAILED, f"completion cut off: {error}", Verdict.MAY_HAVE_RUN
             ) from error
@@ -93,6 +111,8 @@
     def cancel_in_background(self, request_id: str) -> None:
         """Cancel a completion without waiting for the answer."""
         task = asyncio.ensure_future(self.cancel(request_id))
+        self.cancellations.add(task)
+        task.add_done_callback(self.cancellations.discard)
         task.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     async def cancel(self, request_id: str) -> None:
@@ -104,11 +124,11 @@
 
     async def export_kv(self, cache_id: str) -> bytes:
         """Return the KV cache of a sequence."""
-        return await self.raw_call("GET", f"/v1/kv/{cache_id}", b"", CONTROL_TIMEOUT_S)
+        return await self.raw_call("GET", kv_path(cache_id), b"", CONTROL_TIMEOUT_S, MAX_KV_BYTES)
 
     async def import_kv(self, cache_id: str, data: bytes) -> None:
         """Load the KV cache of a sequence."""
-        await self.raw_call("PUT", f"/v1/kv/{cache_id}", data, CONTROL_TIMEOUT_S)
+        await self.raw_call("PUT", kv_path(cache_id), data, CONTROL_TIMEOUT_S)
 
     async def order(self, order: EngineOrder) -> EngineVersion:
         """Give an order; raises `OrderRefused` if the engine refuses it."""
@@ -131,16 +151,16 @@
     async def load(self) -> EngineLoad:
         """Return the load, which lags."""
         answer = await self.call("GET", "/v1/load")
-        return EngineLoad(
-            int(answer.get("running", 0)),
-            int(answer.get("waiting", 0)),
-            int(answer.get("slots", 0)),
-        )
+        numbers = [count_of(answer, name) for name in ("running", "waiting", "slots")]
+        return EngineLoad(*numbers)
 
     async def cache_events(self, since: int) -> list[dict]:
         """Return prefix-cache events after a sequence number; late and with gaps."""
         answer = await self.call("GET", f"/v1/cache_events?since={since}")
-        return list(answer.get("events", []))
+        events = answer.get("events", [])
+        if not isinstance(events, list):
+            raise malformed("events is no list")
+        return events
 
     async def call(
         self, method: str, path: str, body: dict | None = None, timeout_s: float = CONTROL_TIMEOUT_S
@@ -150,13 +170,20 @@
         raw = await self.raw_call(method, path, data, timeout_s)
         try:
             answer = json.loads(raw) if raw else {}
-        except ValueError as error:
-            raise EngineError(
-                ErrorCode.TARGET_FAILED, f"malformed answer: {error}", Verdict.MAY_HAVE_RUN
-            ) from error
-        return answer if isinstance(answer, dict) else {}
-
-    async def raw_call(self, method: str, path: str, data: bytes, timeout_s: float) -> bytes:
+        except (ValueError, RecursionError) as error:
+            raise malformed(str(error)) from error
+        if not isinstance(answer, dict):
+            raise malformed("it is no object")
+        return answer
+
+    async def raw_call(
+        self,
+        method: str,
+        path: str,
+        data: bytes,
+        timeout_s: float,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> bytes:
         """Make a call and return the body of a successful answer."""
         try:
             async with self.session.request(
@@ -167,46 +194,64 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=2.0),
             ) as response:
-                raw = await response.read()
+                raw = await read_answer(response, max_bytes)
                 check_control_status(response, raw)
                 return raw
-        except aiohttp.ClientConnectorError as error:
+        except NOT_SENT_ERRORS as error:
             raise EngineError(
                 ErrorCode.TARGET_UNREACHABLE, f"nothing sent: {error}", Verdict.NOT_RUN
             ) from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, AnswerTooLarge, OSError, ValueError) as error:
             raise EngineError(
                 ErrorCode.TARGET_FAILED, f"no answer: {error!r}", Verdict.MAY_HAVE_RUN
             ) from error
 
 
+def kv_path(cache_id: str) -> str:
+    """Return the path of a sequence's KV cache."""
+    return f"/v1/kv/{quote(cache_id, safe='')}"
+
+
+def malformed(reason: str) -> EngineError:
+    """Return the error for an answer that cannot be read."""
+    return EngineError(ErrorCode.TARGET_FAILED, f"malformed answer: {reason}", Verdict.MAY_HAVE_RUN)
+
+
+def is_count(value) -> bool:
+    """Return whether a JSON value is a number of things."""
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < 2**63
+
+
+def count_of(answer: dict, name: str) -> int:
+    """Return a field that counts, 0 if it is missing."""
+    value = answer.get(name, 0)
+    if not is_count(value):
+        raise malformed(f"{name} is no count")
+    return value
+
+
 def read_version(answer: dict) -> EngineVersion:
     """Read a version answer."""
     version = answer.get("version")
-    if not isinstance(version, int):
+    if not is_count(version):
         raise EngineError(
             ErrorCode.UNKNOWN_VERSION, "the engine named no version", Verdict.MAY_HAVE_RUN
         )
-    return EngineVersion(version, [int(item) for item in answer.get("prepared", [])])
-
-
-def retry_after(response: aiohttp.ClientResponse) -> float:
-    """Return the seconds of a ``Retry-After`` header, 0 if there is none."""
-    try:
-        return max(0.0, float(response.headers.get("Retry-After", "0")))
-    except ValueError:
-        return 0.0
+    prepared = answer.get("prepared", [])
+    if not isinstance(prepared, list) or not all(is_count(item) for item in prepared):
+        raise malformed("prepared is no list of versions")
+    return EngineVersion(version, prepared)
 
 
 async def check_generation_status(response: aiohttp.ClientResponse) -> None:
     """Raise for an answer that carries no completion."""
     if response.status == 200:
         return
-    text = (await response.read())[:200].decode(errors="replace")
+    text = (await read_answer(response, MAX_ERROR_BYTES))[:200].decode(errors="replace")
     if response.status in REFUSED_STATUSES:
         # Engines refuse with these statuses only before the first token.
         raise EngineError(
-            ErrorCode.OVERLOADED, f"refused: {text}", Verdict.NOT_RUN, retry_after(response)
+            ErrorCode.OVERLOADED, f"refused: {text}", Verdict.NOT_RUN, retry_after_s(response)
         )
     code = ErrorCode.BAD_REQUEST if response.status < 500 else ErrorCode.TARGET_FAILED
     raise EngineError(code, f"status {response.status}: {text}", Verdict.MAY_HAVE_RUN)
@@ -221,7 +266,7 @@
         raise OrderRefused(text, read_fencing(raw))
     if response.status in REFUSED_STATUSES:
         raise EngineError(
-            ErrorCode.OVERLOADED, f"refused: {text}", Verdict.NOT_RUN, retry_after(response)
+            ErrorCode.OVERLOADED, f"refused: {text}", Verdict.NOT_RUN, retry_after_s(response)
         )
     raise EngineError(
         ErrorCode.TARGET_FAILED, f"status {response.status}: {text}", Verdict.MAY_HAVE_RUN
@@ -247,20 +292,43 @@
 
 
 async def collect_generation(content: aiohttp.StreamReader) -> Generation:
-    """Collect the events of a completion; raises `ValueError` if its end is missing."""
+    """Collect the events of a completion.
+
+    Raises
+    ------
+    ValueError
+        If an event is malformed, or the completion is too large or without its end.
+    """
     texts: list[str] = []
+    size = 0
     label = LabelBuilder()
     finish_reason = ""
     async for data in read_events(content):
         if data == END_OF_STREAM:
-            if not finish_reason:
-                raise ValueError("the stream ended without a finish reason")
+            if finish_reason not in WHOLE_FINISH_REASONS:
+                raise ValueError(f"the completion ended with the reason {finish_reason!r}")
             return Generation(
                 "".join(texts), label.tokens, finish_reason, label.segments(), label.complete
             )
-        event = json.loads(data)
-        choice = event["choices"][0]
-        texts.append(choice.get("text") or "")
-        finish_reason = choice.get("finish_reason") or finish_reason
+        event, text, reason = read_event(data)
+        size += len(text)
+        if size > MAX_COMPLETION_CHARS:
+            raise ValueError(f"the completion is larger than {MAX_COMPLETION_CHARS} characters")
+        texts.append(text)
+        finish_reason = reason or finish_reason
         label.add(event.get("weight_version"), event.get("tokens"))
     raise ValueError("the stream ended without its end mark")
+
+
+def read_event(data: bytes) -> tuple[dict, str, str]:
+    """Return an event with its text and finish reason; raises `ValueError` if malformed."""
+    try:
+        event = json.loads(data)
+        choice = event["choices"][0]
+        text = choice.get("text") or ""
+        reason = choice.get("finish_reason") or ""
+    except (LookupError, TypeError, AttributeError, RecursionError) as error:
+        raise ValueError(f"malformed event: {error!r}") from error
+    if not isinstance(text, str) or not isinstance(reason, str):
+        raise ValueError("malformed event: text or finish_reason is no text")
+    return event, text, reason
--- a/turmericreach/targets/service.py
+++ b/turmericreach/targets/service.py
@@ -7,15 +7,24 @@
 import attrs
 import yarl
 
+from turmericreach.httpclient import (
+    AnswerTooLarge,
+    check_length_known,
+    read_answer,
+    retry_after_s,
+)
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
 __all__ = ["AnswerWriter", "HttpService", "ServiceCall"]
 
 # Answers up to this size travel whole, so that they can still be repeated; larger ones stream.
 MAX_WHOLE_ANSWER_BYTES = 64 * 1024
+# Bound on answers to callers that take no stream.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 COALESCE_BYTES = 16 * 1024
 COALESCE_S = 0.02
 REFUSED_STATUSES = (429, 503)
+STATUSES_WITHOUT_BODY = (204, 304)
 EVENT_STREAM = "text/event-stream"
 HOP_HEADERS = frozenset(
     [
@@ -26,6 +35,7 @@
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
@@ -101,31 +111,29 @@
                 call.method,
                 yarl.URL(self.url + call.path, encoded=True),
                 data=call.body or None,
-                headers=[pair for pair in call.headers if pair[0].lower() not in HOP_HEADERS],
+                headers=end_to_end(call.headers),
+                skip_auto_headers=["Content-Type"],
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=call.timeout_s, sock_connect=2.0),
             ) as response:
                 return await self.read_answer(call, response, writer)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return failed(Verdict.NOT_RUN, ErrorCode.TARGET_UNREACHABLE, error), False
         except TimeoutError as error:
             return failed(Verdict.MAY_HAVE_RUN, ErrorCode.TIMEOUT, error), False
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, AnswerTooLarge, OSError, ValueError) as error:
             return failed(Verdict.MAY_HAVE_RUN, ErrorCode.TARGET_FAILED, error), False
 
     async def read_answer(self, call, response, writer) -> tuple[Outcome, bool]:
         """Read a whole answer or stream it on."""
-        headers = [
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
-        ]
+        check_length_known(response)
+        headers = end_to_end([(text(name), text(value)) for name, value in response.raw_headers])
         if response.status in REFUSED_STATUSES and call.refusals_not_run:
-            await response.read()
+            await read_answer(response, MAX_WHOLE_ANSWER_BYTES)
             return refused(response), False
         if writer is not None and should_stream(response):
             return await self.stream_answer(response, headers, writer), True
-        body = await response.read()
+        body = await read_answer(response, MAX_ANSWER_BYTES)
         outcome = Outcome(
             Verdict.ANSWERED,
             status=response.status,
@@ -151,6 +159,23 @@
         )
 
 
+def end_to_end(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that are not only for one connection."""
+    dropped = set(HOP_HEADERS)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return [pair for pair in headers if pair[0].lower() not in dropped]
+
+
+def text(raw: bytes) -> str:
+    """Return a header as text; one that is not UTF-8 is read as Latin-1."""
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode("latin-1")
+
+
 async def fill_chunk(reader: aiohttp.StreamReader, waiting: bytearray) -> bool:
     """Collect data for up to `COALESCE_S` or `COALESCE_BYTES`; return whether it is the end.
 
@@ -179,6 +204,8 @@
 
 def should_stream(response: aiohttp.ClientResponse) -> bool:
     """Return whether an answer is passed on piece by piece."""
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return False
     if response.content_type == EVENT_STREAM:
         return True
     length = response.content_length
@@ -187,15 +214,11 @@
 
 def refused(response: aiohttp.ClientResponse) -> Outcome:
     """Return the outcome of a refusal that proves that the request did not run."""
-    try:
-        retry_after_s = max(0.0, float(response.headers.get("Retry-After", "0")))
-    except ValueError:
-        retry_after_s = 0.0
     return Outcome(
         Verdict.NOT_RUN,
         code=ErrorCode.OVERLOADED,
         status=response.status,
-        retry_after_s=retry_after_s,
+        retry_after_s=retry_after_s(response),
         evidence="target refused before it started",
     )
 
