Give every bad input at the public door a clear error, and fix what the tables found

Cause: the door had no tests. The faults with consequences: * a non-idempotent rule was lost by writing the path in another way (percent-encoded, dot segments, doubled slashes, other case), so that an order could be repeated; * garbage pipelined behind an order got an answer 400 that its caller had to take for the order's; * requests pipelined on one connection went on after their caller had left; * one pull with a huge trainer_version made every sample of the lot stale for ever; * 'Turmericreach-Idempotent: no' and two values in two headers were ignored; * a service name written percent-encoded cut the path at a wrong place; * request heads had no bound; malformed heads and slow ones got a plain text or nothing; * a header of another script in an answer gave an internal error; non-ASCII ones changed; * numbers over 4,300 digits and very large bounds gave internal errors; * errors carried no request id and verdict headers; unknown paths and methods were no JSON; * Retry-After was rounded instead of rounded up.

Ruled out: refusing pipelined requests, which some clients send; resolving paths before passing them on, since targets differ in what they resolve.

--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -2,11 +2,13 @@
 
 import msgspec
 from blacksheep import Application, Content, Request, Response
+from blacksheep.exceptions import MessageAborted
 from blacksheep.server.routing import Router
 
 from turmericreach.api import AnnounceRequest, DrainRequest, PullRequest
 from turmericreach.daemon.lot_calls import LotCall, LotOperation
 from turmericreach.daemon.lot_service import MAX_PULL_WAIT_S, decode_body
+from turmericreach.daemon.request_paths import request_id_of
 from turmericreach.httpserver import error_response, json_response, read_body, read_json
 from turmericreach.security import TokenRole
 from turmericreach.telemetry import events, log_event
@@ -17,6 +19,9 @@
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 JSON = b"application/json"
 SMALL_BODY_BYTES = 4096
+MAX_VERSION = (1 << 53) - 1
+# The status that web servers log for a caller that left; nobody receives it.
+STATUS_CALLER_LEFT = 499
 
 
 def build_app(gateway) -> Application:
@@ -28,6 +33,7 @@
         app.router.add(method, path, as_function(handler))
 
     add("GET", "/healthz", routes.health)
+    add("HEAD", "/healthz", routes.health)
     add("POST", "/v1/lots", routes.declare_lot)
     add("GET", "/v1/lots", routes.list_lots)
     add("GET", "/v1/lots/{lot}", routes.lot_status)
@@ -43,7 +49,8 @@
         add(method, "/services/{service}", routes.ordinary)
         add(method, "/services/{service}/*", routes.ordinary)
     app.exceptions_handlers[RequestError] = handle_request_error
-    app.exceptions_handlers[404] = handle_not_found
+    app.router.fallback = make_fallback(app.router)
+    app.exceptions_handlers[MessageAborted] = handle_caller_left
     app.exceptions_handlers[Exception] = handle_unexpected
     return app
 
@@ -64,12 +71,32 @@
 
 async def handle_request_error(app, request: Request, error: RequestError) -> Response:
     """Answer an error with a stable code."""
-    return error_response(error, getattr(error, "request_id", ""))
+    return error_response(error, request_id_of(request))
 
 
-async def handle_not_found(app, request: Request, error) -> Response:
-    """Answer a path that does not exist."""
-    return error_response(RequestError(ErrorCode.BAD_REQUEST, "no such path", 404))
+def make_fallback(router: Router):
+    """Return the handler of requests that no route takes."""
+
+    async def fallback(request: Request) -> Response:
+        path = request.scope["raw_path"]
+        allowed = [
+            method
+            for method in METHODS
+            if any(route.match_by_path(path) for route in router.routes[method.encode()])
+        ]
+        if not allowed:
+            raise RequestError(ErrorCode.BAD_REQUEST, "no such path", 404)
+        error = RequestError(ErrorCode.BAD_REQUEST, "the path does not take this method", 405)
+        response = error_response(error, request_id_of(request))
+        response.add_header(b"Allow", ", ".join(allowed).encode())
+        return response
+
+    return fallback
+
+
+async def handle_caller_left(app, request: Request, error) -> Response:
+    """Answer a caller that left before its body was complete; nothing ran."""
+    return error_response(RequestError(ErrorCode.CANCELLED, "caller left", STATUS_CALLER_LEFT))
 
 
 async def handle_unexpected(app, request: Request, error: Exception) -> Response:
@@ -80,7 +107,8 @@
         where=request.url.path.decode("ascii", "replace"),
     )
     return error_response(
-        RequestError(ErrorCode.INTERNAL, "internal error", 500, Verdict.MAY_HAVE_RUN)
+        RequestError(ErrorCode.INTERNAL, "internal error", 500, Verdict.MAY_HAVE_RUN),
+        request_id_of(request),
     )
 
 
@@ -153,6 +181,11 @@
             raise RequestError(
                 ErrorCode.BAD_REQUEST, f"wait_s must be between 0 and {MAX_PULL_WAIT_S:g}"
             )
+        # A lot never goes below the highest version stated, so a senseless one would end it.
+        if not 0 <= wanted.trainer_version <= MAX_VERSION:
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, f"trainer_version must be between 0 and {MAX_VERSION}"
+            )
         lot = route_value(request, "lot")
         call = LotCall(LotOperation.PULL, lot, body, wanted.wait_s)
         return await self.run_lot_call(call)
@@ -179,6 +212,10 @@
         who = self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
         body = await read_json(request, AnnounceRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        if not 0 < body.version <= MAX_VERSION:
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, f"version must be between 1 and {MAX_VERSION}"
+            )
         return json_response(await self.gateway.announce(route_value(request, "model"), body, who))
 
     async def status(self, request: Request) -> Response:
--- a/turmericreach/daemon/ordinary.py
+++ b/turmericreach/daemon/ordinary.py
@@ -13,14 +13,24 @@
     SITE_HEADER,
     VERDICT_HEADER,
 )
-from turmericreach.attempts import CallerRequest, CallerStream, RequestRunner, new_request_id
-from turmericreach.httpserver import read_body
+from turmericreach.attempts import CallerRequest, CallerStream, RequestRunner
+from turmericreach.daemon.request_paths import (
+    checked_id,
+    header,
+    header_text,
+    is_idempotent,
+    request_id_of,
+    target_path,
+)
+from turmericreach.httpserver import on_end, read_body
 from turmericreach.manifest import ServiceKind, ServiceSpec
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, TurmericreachError, Verdict
 
-__all__ = ["AnswerCutOff", "OrdinaryRequests", "is_idempotent"]
+__all__ = ["AnswerCutOff", "OrdinaryRequests"]
 
-MAX_ID_CHARS = 200
+MAX_SITE_CHARS = 200
+MAX_DEADLINE_DIGITS = 15
+MAX_EXPECTED_TOKENS = 1 << 20
 OWN_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -31,6 +41,8 @@
         "Authorization",
     )
 )
+# Set by this system alone; a target must not speak for it.
+ANSWER_HEADERS = frozenset(name.lower() for name in (REQUEST_ID_HEADER, VERDICT_HEADER))
 STATUS_OF_CODE = {
     ErrorCode.BAD_REQUEST: 400,
     ErrorCode.CONFLICT: 409,
@@ -68,7 +80,7 @@
         service = self.service_of(service_name)
         if service is None:
             raise RequestError(
-                ErrorCode.UNKNOWN_SERVICE, f"service {service_name} is not declared", 404
+                ErrorCode.UNKNOWN_SERVICE, f"service {service_name[:80]} is not declared", 404
             )
         body = await read_body(
             request, self.limits.max_body_bytes, self.limits.slow_sender_timeout_s
@@ -77,11 +89,8 @@
         stream = CallerStream()
         task = asyncio.ensure_future(self.runner.run(caller_request, stream))
         task.add_done_callback(lambda _: stream.end())
-        try:
-            await stream.started.wait()
-        except asyncio.CancelledError:
-            task.cancel()
-            raise
+        on_end(request.scope, task.cancel)
+        await stream.started.wait()
         if stream.begun:
             return streamed_response(task, stream, caller_request)
         return whole_response(task.result(), caller_request)
@@ -90,18 +99,12 @@
 def build_request(request: Request, service: ServiceSpec, body: bytes, authorization: bool):
     """Return the `CallerRequest` of an HTTP request."""
     method = request.method.upper()
-    prefix = f"/services/{service.name}".encode()
-    target_path = request.url.value
-    start = target_path.find(prefix) + len(prefix)
-    path = target_path[start:].decode("ascii", "replace") or "/"
-    if not path.startswith("/"):
-        path = "/" + path
+    path = target_path(request)
     now = asyncio.get_running_loop().time()
-    idempotent = is_idempotent(service, method, path)
-    if header(request, IDEMPOTENT_HEADER).lower() == "false":
-        idempotent = False
+    idempotent = not asks_once(request) and is_idempotent(service, method, path)
+    checked_id(request, REQUEST_ID_HEADER)
     return CallerRequest(
-        request_id=checked_id(request, REQUEST_ID_HEADER) or new_request_id(),
+        request_id=request_id_of(request),
         service=service.name,
         deadline=now + deadline_s(request, service),
         idempotent=idempotent,
@@ -110,25 +113,23 @@
         path=path,
         headers=forwarded_headers(request, authorization),
         body=body,
-        site=header(request, SITE_HEADER)[:MAX_ID_CHARS],
+        site=header(request, SITE_HEADER)[:MAX_SITE_CHARS],
         expected_tokens=expected_tokens(service, body),
     )
 
 
-def header(request: Request, name: str) -> str:
-    """Return a header's value, empty if it is missing."""
-    value = request.get_first_header(name.lower().encode())
-    return "" if value is None else value.decode("latin-1")
-
+def asks_once(request: Request) -> bool:
+    """Return whether the caller wants its request to run at most once.
 
-def checked_id(request: Request, name: str) -> str:
-    """Return an id that a caller gave, checked for length."""
-    value = header(request, name)
-    if len(value) > MAX_ID_CHARS or not value.isprintable():
-        raise RequestError(
-            ErrorCode.BAD_REQUEST, f"{name} must be at most {MAX_ID_CHARS} printable characters"
-        )
-    return value
+    Raises
+    ------
+    RequestError
+        For another value than true or false; ignoring it could repeat an order.
+    """
+    values = {value.lower() for value in request.headers.get(IDEMPOTENT_HEADER.lower().encode())}
+    if not values <= {b"true", b"false"}:
+        raise RequestError(ErrorCode.BAD_REQUEST, f"{IDEMPOTENT_HEADER} must be true or false")
+    return b"false" in values
 
 
 def deadline_s(request: Request, service: ServiceSpec) -> float:
@@ -136,26 +137,14 @@
     text = header(request, DEADLINE_HEADER)
     if not text:
         return service.deadline_s
-    if not text.isdigit() or int(text) == 0:
+    digits = text.isascii() and text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+    if not digits or int(text) == 0:
         raise RequestError(
             ErrorCode.BAD_REQUEST, f"{DEADLINE_HEADER} must be a positive number of milliseconds"
         )
     return min(service.deadline_s, int(text) / 1000)
 
 
-def is_idempotent(service: ServiceSpec, method: str, path: str) -> bool:
-    """Return whether the manifest lets a request be repeated."""
-    if not service.idempotent:
-        return False
-    for rule in service.non_idempotent_paths:
-        rule_method, _, rule_path = rule.rpartition(" ")
-        if rule_method and rule_method.strip().upper() != method:
-            continue
-        if path.startswith(rule_path):
-            return False
-    return True
-
-
 def forwarded_headers(request: Request, authorization: bool) -> list[tuple[str, str]]:
     """Return the headers that go to the target.
 
@@ -166,7 +155,7 @@
         lower = name.decode("latin-1").lower()
         if lower in OWN_HEADERS and not (lower == "authorization" and authorization):
             continue
-        pairs.append((name.decode("latin-1"), value.decode("latin-1")))
+        pairs.append((name.decode("latin-1"), header_text(value)))
     return pairs
 
 
@@ -176,31 +165,43 @@
         return 0
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return 0
     tokens = value.get("max_tokens") if isinstance(value, dict) else None
-    return tokens if isinstance(tokens, int) and tokens > 0 else 0
+    if not isinstance(tokens, int) or isinstance(tokens, bool):
+        return 0
+    return min(max(tokens, 0), MAX_EXPECTED_TOKENS)
 
 
 def whole_response(outcome: Outcome, request: CallerRequest) -> Response:
     """Return the response for an answer that was not streamed."""
     if outcome.verdict is not Verdict.ANSWERED:
-        error = RequestError(
+        raise RequestError(
             outcome.code or ErrorCode.INTERNAL,
             outcome.evidence,
             STATUS_OF_CODE.get(outcome.code, DEFAULT_STATUS),
             outcome.verdict,
             outcome.retry_after_s or None,
         )
-        error.request_id = request.request_id
-        raise error
     response = Response(outcome.status)
     add_headers(response, outcome.headers, request)
     content_type = first(outcome.headers, "content-type") or "application/octet-stream"
-    response.content = Content(content_type.encode("latin-1"), outcome.body)
+    response.content = Content(content_type.encode(), outcome.body)
+    if request.method == "HEAD":
+        response.content = head_content(content_type, first(outcome.headers, "content-length"))
     return response
 
 
+def head_content(content_type: str, length: str) -> StreamedContent:
+    """Return content that declares the length of a body which a HEAD answer leaves out."""
+
+    async def nothing():
+        yield b""
+
+    known = length.isascii() and length.isdigit()
+    return StreamedContent(content_type.encode(), nothing, int(length) if known else -1)
+
+
 def streamed_response(task, stream: CallerStream, request: CallerRequest) -> Response:
     """Return the response that passes a streamed answer on."""
 
@@ -220,16 +221,16 @@
     response = Response(stream.status)
     add_headers(response, stream.headers, request)
     content_type = first(stream.headers, "content-type") or "application/octet-stream"
-    response.content = StreamedContent(content_type.encode("latin-1"), chunks)
+    response.content = StreamedContent(content_type.encode(), chunks)
     return response
 
 
 def add_headers(response: Response, pairs, request: CallerRequest) -> None:
     """Add the target's headers and the request id."""
     for name, value in pairs:
-        if name.lower() == "content-type":
+        if name.lower() in ("content-type", "content-length") or name.lower() in ANSWER_HEADERS:
             continue
-        response.add_header(name.encode("latin-1"), value.encode("latin-1"))
+        response.add_header(name.encode(), value.encode())
     response.add_header(REQUEST_ID_HEADER.encode(), request.request_id.encode())
     response.add_header(VERDICT_HEADER.encode(), Verdict.ANSWERED.encode())
 
--- a/turmericreach/httpserver/__init__.py
+++ b/turmericreach/httpserver/__init__.py
@@ -1,7 +1,7 @@
 """The HTTP door: connection limits, request limits and error answers."""
 
 from turmericreach.httpserver.body import read_body, read_json
-from turmericreach.httpserver.disconnect import CancelOnDisconnect
+from turmericreach.httpserver.disconnect import CancelOnDisconnect, on_end
 from turmericreach.httpserver.errors import error_response, json_response
 from turmericreach.httpserver.server import HttpServer, bind_socket
 
@@ -11,6 +11,7 @@
     "bind_socket",
     "error_response",
     "json_response",
+    "on_end",
     "read_body",
     "read_json",
 ]
--- a/turmericreach/httpserver/disconnect.py
+++ b/turmericreach/httpserver/disconnect.py
@@ -2,7 +2,18 @@
 
 import asyncio
 
-__all__ = ["CancelOnDisconnect"]
+__all__ = ["CancelOnDisconnect", "on_end"]
+
+CALLBACKS = "turmericreach.on_end"
+
+
+def on_end(scope: dict, callback) -> None:
+    """Call a function when a request has ended in any way.
+
+    An answer whose stream was never started, because its caller left first, runs no ``finally``
+    of its own.
+    """
+    scope.setdefault(CALLBACKS, []).append(callback)
 
 
 class CancelOnDisconnect:
@@ -33,6 +44,14 @@
                 body_read.set()
             return message
 
+        try:
+            await self.run(scope, receive, receive_body, send, body_read)
+        finally:
+            for callback in scope.pop(CALLBACKS, []):
+                callback()
+
+    async def run(self, scope, receive, receive_body, send, body_read):
+        """Run the application until it ends or its caller leaves."""
         run = asyncio.ensure_future(self.app(scope, receive_body, send))
         watch = asyncio.ensure_future(wait_for_disconnect(body_read, receive))
         try:
--- a/turmericreach/httpserver/errors.py
+++ b/turmericreach/httpserver/errors.py
@@ -1,11 +1,15 @@
 """Answers in JSON, with stable error codes."""
 
+import http
+import math
+
 import msgspec
 from blacksheep import Content, Response
 
+from turmericreach.api import REQUEST_ID_HEADER, VERDICT_HEADER
 from turmericreach.verdicts import RequestError
 
-__all__ = ["error_response", "json_response"]
+__all__ = ["error_bytes", "error_response", "json_response"]
 
 JSON = b"application/json"
 
@@ -15,9 +19,9 @@
     return Response(status, content=Content(JSON, msgspec.json.encode(value)))
 
 
-def error_response(error: RequestError, request_id: str = "") -> Response:
-    """Return the response for an error with a stable code."""
-    body = {
+def error_body(error: RequestError, request_id: str) -> dict:
+    """Return the JSON form of an error."""
+    return {
         "error": {
             "code": str(error.code),
             "message": error.message,
@@ -26,8 +30,35 @@
             "request_id": request_id,
         }
     }
-    response = json_response(body, error.status)
+
+
+def error_headers(error: RequestError, request_id: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an error's answer."""
+    headers = [(VERDICT_HEADER.encode(), str(error.verdict).encode())]
+    if request_id:
+        headers.append((REQUEST_ID_HEADER.encode(), request_id.encode()))
     if error.retry_after_s:
         # Retry-After takes whole seconds, so fractions are rounded up.
-        response.add_header(b"Retry-After", str(max(1, round(error.retry_after_s))).encode())
+        headers.append((b"Retry-After", str(math.ceil(error.retry_after_s)).encode()))
+    return headers
+
+
+def error_response(error: RequestError, request_id: str = "") -> Response:
+    """Return the response for an error with a stable code."""
+    response = json_response(error_body(error, request_id), error.status)
+    for name, value in error_headers(error, request_id):
+        response.add_header(name, value)
     return response
+
+
+def error_bytes(error: RequestError, request_id: str) -> bytes:
+    """Return a whole HTTP answer that ends its connection."""
+    body = msgspec.json.encode(error_body(error, request_id))
+    headers = [
+        *error_headers(error, request_id),
+        (b"Content-Type", JSON),
+        (b"Content-Length", str(len(body)).encode()),
+        (b"Connection", b"close"),
+    ]
+    status = f"HTTP/1.1 {error.status} {http.HTTPStatus(error.status).phrase}\r\n".encode()
+    return status + b"".join(b"%b: %b\r\n" % pair for pair in headers) + b"\r\n" + body
--- /dev/null
+++ b/turmericreach/httpserver/protocol.py
@@ -0,0 +1,152 @@
+"""Connections that enforce limits before a request is complete."""
+
+import uuid
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from turmericreach.httpserver.errors import error_bytes
+from turmericreach.settings.schema import LimitSettings
+from turmericreach.verdicts import ErrorCode, RequestError
+
+__all__ = ["MAX_HEAD_BYTES", "MAX_TARGET_BYTES", "make_protocol"]
+
+# The parser collects a request head of any size.
+MAX_HEAD_BYTES = 64 * 1024
+# The router keeps the paths of 1,200 requests in its cache.
+MAX_TARGET_BYTES = 8 * 1024
+RETRY_AFTER_S = 1.0
+
+
+class HeadRefused(Exception):
+    """Ends the parsing of a request head that is over a limit."""
+
+
+def make_protocol(limits: LimitSettings) -> type[HttpToolsProtocol]:
+    """Return a connection class that enforces the limits before a request is complete."""
+
+    class LimitedProtocol(HttpToolsProtocol):
+        """Refuses surplus connections, heads over a limit and heads that arrive too slowly."""
+
+        head_timer = None
+        in_head = False
+        head_bytes = 0
+        refusal = None
+
+        def connection_made(self, transport):
+            """Start the timer of the first request head."""
+            super().connection_made(transport)
+            self.open_cycles = []
+            if len(self.connections) > limits.max_connections:
+                self.refuse(
+                    RequestError(
+                        ErrorCode.OVERLOADED,
+                        "too many connections",
+                        503,
+                        retry_after_s=RETRY_AFTER_S,
+                    )
+                )
+                return
+            self.start_head_timer()
+
+        def data_received(self, data):
+            """Start the timer when a further request begins on a kept connection."""
+            if self.head_timer is None and (self.cycle is None or self.cycle.response_complete):
+                self.start_head_timer()
+            if self.in_head:
+                self.head_bytes += len(data)
+            super().data_received(data)
+            if self.in_head and self.head_bytes > MAX_HEAD_BYTES:
+                self.refusal = head_too_large()
+                self.send_400_response("")
+
+        def on_message_begin(self):
+            """Start counting the bytes of a request head."""
+            super().on_message_begin()
+            self.in_head = True
+            self.head_bytes = 0
+
+        def on_headers_complete(self):
+            """Stop the timer and check the size of the head."""
+            self.in_head = False
+            self.stop_head_timer()
+            size = len(self.url) + sum(len(name) + len(value) for name, value in self.headers)
+            if len(self.url) > MAX_TARGET_BYTES:
+                self.refusal = RequestError(
+                    ErrorCode.BAD_REQUEST, f"request target over {MAX_TARGET_BYTES} bytes", 414
+                )
+                raise HeadRefused
+            if size > MAX_HEAD_BYTES:
+                self.refusal = head_too_large()
+                raise HeadRefused
+            super().on_headers_complete()
+            self.open_cycles = [c for c in self.open_cycles if not c.response_complete]
+            self.open_cycles.append(self.cycle)
+
+        def connection_lost(self, exc):
+            """Stop the timer and tell every request of the connection.
+
+            The base class tells only the last one, so that a request with others pipelined behind
+            it would go on for a caller that left.
+            """
+            self.stop_head_timer()
+            for cycle in self.open_cycles:
+                if not cycle.response_complete:
+                    cycle.disconnected = True
+                    cycle.message_event.set()
+            super().connection_lost(exc)
+
+        def send_400_response(self, msg):
+            """Answer bytes that are no acceptable request.
+
+            While a request before them is unanswered, the answer would be taken for that
+            request's, so the connection is closed without one.
+            """
+            if any(is_unanswered(cycle) for cycle in self.open_cycles):
+                self.transport.close()
+                return
+            self.refuse(
+                self.refusal or RequestError(ErrorCode.BAD_REQUEST, "malformed HTTP request")
+            )
+
+        def refuse(self, error):
+            """Send an error answer and close the connection."""
+            self.stop_head_timer()
+            if not self.transport.is_closing():
+                self.transport.write(error_bytes(error, uuid.uuid4().hex))
+                self.transport.close()
+
+        def start_head_timer(self):
+            """Close the connection unless a request head arrives in time."""
+            self.head_timer = self.loop.call_later(limits.slow_sender_timeout_s, self.head_is_late)
+
+        def head_is_late(self):
+            """Answer a head that is incomplete; close an idle connection."""
+            if not self.in_head:
+                self.transport.close()
+                return
+            self.refusal = RequestError(
+                ErrorCode.TIMEOUT,
+                f"the request did not arrive within {limits.slow_sender_timeout_s:g} s",
+                408,
+            )
+            self.send_400_response("")
+
+        def stop_head_timer(self):
+            """Stop waiting for a request head."""
+            if self.head_timer is not None:
+                self.head_timer.cancel()
+                self.head_timer = None
+
+    return LimitedProtocol
+
+
+def head_too_large() -> RequestError:
+    """Return the error for a request head over the limit."""
+    return RequestError(ErrorCode.BAD_REQUEST, f"headers are over {MAX_HEAD_BYTES} bytes", 431)
+
+
+def is_unanswered(cycle) -> bool:
+    """Return whether a request has arrived whole, or its answer begun, without being complete."""
+    if cycle.response_complete:
+        return False
+    return cycle.response_started or not cycle.more_body
--- a/turmericreach/httpserver/server.py
+++ b/turmericreach/httpserver/server.py
@@ -7,8 +7,8 @@
 
 import attrs
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from turmericreach.httpserver.protocol import make_protocol
 from turmericreach.settings.schema import LimitSettings
 
 __all__ = ["HttpServer", "bind_socket"]
@@ -30,53 +30,6 @@
     return listener
 
 
-def make_protocol(limits: LimitSettings) -> type[HttpToolsProtocol]:
-    """Return a connection class that enforces the limits before a request is complete."""
-
-    class LimitedProtocol(HttpToolsProtocol):
-        """Closes surplus connections and those whose request head does not arrive in time."""
-
-        head_timer: asyncio.TimerHandle | None = None
-
-        def connection_made(self, transport):
-            """Start the timer of the first request head."""
-            super().connection_made(transport)
-            if len(self.connections) > limits.max_connections:
-                transport.close()
-                return
-            self.start_head_timer()
-
-        def data_received(self, data):
-            """Start the timer when a further request begins on a kept connection."""
-            if self.head_timer is None and (self.cycle is None or self.cycle.response_complete):
-                self.start_head_timer()
-            super().data_received(data)
-
-        def on_headers_complete(self):
-            """Stop the timer."""
-            self.stop_head_timer()
-            super().on_headers_complete()
-
-        def connection_lost(self, exc):
-            """Stop the timer."""
-            self.stop_head_timer()
-            super().connection_lost(exc)
-
-        def start_head_timer(self):
-            """Close the connection unless a request head arrives in time."""
-            self.head_timer = self.loop.call_later(
-                limits.slow_sender_timeout_s, self.transport.close
-            )
-
-        def stop_head_timer(self):
-            """Stop waiting for a request head."""
-            if self.head_timer is not None:
-                self.head_timer.cancel()
-                self.head_timer = None
-
-    return LimitedProtocol
-
-
 class QuietServer(uvicorn.Server):
     """A server that leaves signals to the daemon.
 
--- a/turmericreach/lots/spec.py
+++ b/turmericreach/lots/spec.py
@@ -1,6 +1,5 @@
 """What a trainer declares: the lot spec, its checks and its storage objects."""
 
-import math
 import re
 
 import attrs
@@ -159,8 +158,9 @@
     ]
     for field, low, high in ranges:
         value = getattr(spec, field)
-        if not math.isfinite(value) or not low <= value <= high:
-            raise bad_request(f"{field}: {value} is not between {low} and {high}")
+        # Comparisons refuse NaN as well; a huge integer fits no float that could be tested.
+        if not low <= value <= high:
+            raise bad_request(f"{field}: the number is not between {low} and {high}")
 
 
 def check_groups(spec, limits):
@@ -193,7 +193,7 @@
     """
     try:
         return msgspec.json.decode(body, type=LotSpec)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise bad_request(f"lot: {error}") from error
 
 
--- a/turmericreach/targets/service.py
+++ b/turmericreach/targets/service.py
@@ -128,6 +128,8 @@
         """Read a whole answer or stream it on."""
         check_length_known(response)
         headers = end_to_end([(text(name), text(value)) for name, value in response.raw_headers])
+        if response.method == "HEAD" and response.content_length is not None:
+            headers.append(("Content-Length", str(response.content_length)))
         if response.status in REFUSED_STATUSES and call.refusals_not_run:
             await read_answer(response, MAX_WHOLE_ANSWER_BYTES)
             return refused(response), False
@@ -150,7 +152,12 @@
         reader = response.content
         at_end = False
         while not at_end:
-            at_end = await fill_chunk(reader, waiting)
+            try:
+                at_end = await fill_chunk(reader, waiting)
+            except (aiohttp.ClientError, OSError):
+                # What arrived before the fault is passed on; the stream then ends with the fault.
+                await writer.write(bytes(waiting))
+                raise
             if waiting:
                 await writer.write(bytes(waiting))
                 waiting.clear()
