Make the trainer's client safe against late, lost and malformed answers

Ruled out: checking the staleness of each sample again at the client; the coordinator checks all of them against the version that the answer states.

--- a/turmericreach/client/connection.py
+++ b/turmericreach/client/connection.py
@@ -6,16 +6,19 @@
 import aiohttp
 import msgspec
 
-from turmericreach.httpclient import open_session
+from turmericreach.httpclient import AnswerTooLarge, open_session, read_answer, retry_after_s
 from turmericreach.verdicts import TurmericreachError, Verdict
 
-__all__ = ["ApiConnection", "ApiError"]
+__all__ = ["ApiConnection", "ApiError", "Backoff"]
 
 BACKOFF_START_S = 0.1
 BACKOFF_MAX_S = 5.0
 BACKOFF_JITTER = 0.3
 DEFAULT_TIMEOUT_S = 30.0
-RETRYABLE_STATUSES = (429, 502, 503, 504)
+PATIENCE_S = 120.0
+MAX_ANSWER_BYTES = 256 * 1024 * 1024
+RETRYABLE_STATUSES = (408, 429, 502, 503, 504)
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class ApiError(TurmericreachError):
@@ -29,6 +32,10 @@
         Stable error code, empty if there was no answer.
     verdict : Verdict
         Whether the request may have run.
+    retry_after_s : float
+        Seconds after which the gateway asks to be called again, 0 if it named none.
+    retryable : bool
+        Whether a repetition of an idempotent call may succeed.
     """
 
     def __init__(
@@ -38,12 +45,37 @@
         code: str = "",
         verdict: Verdict = Verdict.MAY_HAVE_RUN,
         retry_after_s: float = 0.0,
+        retryable: bool | None = None,
     ):
         super().__init__(message)
         self.status = status
         self.code = code
         self.verdict = verdict
         self.retry_after_s = retry_after_s
+        self.retryable = status in (0, *RETRYABLE_STATUSES) if retryable is None else retryable
+
+
+class Backoff:
+    """Growing pauses between repetitions, up to the end of a caller's patience.
+
+    Parameters
+    ----------
+    patience_s : float
+        Seconds from now after which no further repetition starts.
+    """
+
+    def __init__(self, patience_s: float):
+        self.ends = asyncio.get_running_loop().time() + patience_s
+        self.pause_s = BACKOFF_START_S
+
+    async def wait(self, least_s: float = 0.0) -> bool:
+        """Pause for at least `least_s`; return False at once if patience would end before."""
+        pause_s = max(self.pause_s, least_s) * (1 + random.uniform(0, BACKOFF_JITTER))
+        if asyncio.get_running_loop().time() + pause_s > self.ends:
+            return False
+        await asyncio.sleep(pause_s)
+        self.pause_s = min(BACKOFF_MAX_S, self.pause_s * 2)
+        return True
 
 
 class ApiConnection:
@@ -99,25 +131,30 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=2.0),
             ) as response:
-                raw = await response.read()
-                status = response.status
-        except aiohttp.ClientConnectorError as error:
-            self.next_gateway()
+                raw = await read_answer(response, MAX_ANSWER_BYTES)
+        except NOT_SENT_ERRORS as error:
+            self.leave_gateway(url)
             raise ApiError(f"{url}: {error}", verdict=Verdict.NOT_RUN) from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self.next_gateway()
+        except AnswerTooLarge as error:
+            raise ApiError(f"{url}: {error}", retryable=False) from error
+        except (aiohttp.ClientError, OSError) as error:
+            self.leave_gateway(url)
             raise ApiError(f"{url}: {error!r}") from error
-        if status >= 300:
-            raise self.read_error(url, status, raw)
+        if response.status >= 300:
+            raise self.read_error(url, response, raw)
         try:
             return msgspec.json.decode(raw or b"{}", type=answer_type)
-        except msgspec.DecodeError as error:
-            raise ApiError(f"{url}: malformed answer: {error}", status) from error
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            self.leave_gateway(url)
+            message = f"{url}: malformed answer: {error}"
+            raise ApiError(message, response.status, retryable=True) from error
 
-    def read_error(self, url: str, status: int, raw: bytes) -> ApiError:
+    def read_error(self, url: str, response: aiohttp.ClientResponse, raw: bytes) -> ApiError:
         """Return the error of an unsuccessful answer."""
+        status = response.status
+        named_s = retry_after_s(response)
         if status in RETRYABLE_STATUSES:
-            self.next_gateway()
+            self.leave_gateway(url)
         try:
             error = msgspec.json.decode(raw, type=dict).get("error", {})
             return ApiError(
@@ -125,13 +162,15 @@
                 status,
                 str(error.get("code", "")),
                 Verdict(error.get("verdict", Verdict.MAY_HAVE_RUN)),
-                float(error.get("retry_after_s") or 0.0),
+                float(error.get("retry_after_s") or named_s),
             )
-        except (msgspec.DecodeError, ValueError, AttributeError):
-            return ApiError(f"{url}: status {status}", status)
+        except (msgspec.DecodeError, ValueError, TypeError, AttributeError, RecursionError):
+            return ApiError(f"{url}: status {status}", status, retry_after_s=named_s)
 
-    def next_gateway(self) -> None:
-        """Use another entry address for the next call."""
+    def leave_gateway(self, url: str) -> None:
+        """Use another entry address for the next call, unless another call has moved already."""
+        if self.urls[self.current] != url:
+            return
         self.current = (self.current + 1) % len(self.urls)
 
     async def call_repeatedly(
@@ -141,7 +180,7 @@
         body=None,
         answer_type=dict,
         timeout_s: float = DEFAULT_TIMEOUT_S,
-        patience_s: float = 120.0,
+        patience_s: float = PATIENCE_S,
     ):
         """Make an idempotent call and repeat it until it is answered or patience ends.
 
@@ -150,17 +189,10 @@
         ApiError
             The last error, or at once an error that a repetition cannot change.
         """
-        loop = asyncio.get_running_loop()
-        ends = loop.time() + patience_s
-        backoff_s = BACKOFF_START_S
+        backoff = Backoff(patience_s)
         while True:
             try:
                 return await self.call(method, path, body, answer_type, timeout_s)
             except ApiError as error:
-                final = error.status and error.status not in RETRYABLE_STATUSES
-                pause_s = max(backoff_s, error.retry_after_s)
-                pause_s *= 1 + random.uniform(0, BACKOFF_JITTER)
-                if final or loop.time() + pause_s > ends:
+                if not error.retryable or not await backoff.wait(error.retry_after_s):
                     raise
-                await asyncio.sleep(pause_s)
-                backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
