Bound the bodies held together, callers that never read, and locks of unknown lots

Cause: limits on each body let 2,048 connections of 8 MiB fill 16 GiB; a caller that never reads a streamed answer held its connection for ever, since only the request has a deadline; each call for a lot that does not exist left a lock behind; the library logged a line of up to 8 KiB for every refused request.

Ruled out: a lower connection limit, which small requests do not need.

Change: BodyBudget (128 MiB for a process, refusal 503 overloaded, not run), a timer on paused writing (60 s), locks in a weak dictionary, the library's logger at warning.

--- a/tests/doors/test_bad_input.py
+++ b/tests/doors/test_bad_input.py
@@ -151,6 +151,8 @@
     assert (await door.request("GET", "/v1/lots/eyes-1"))[0] == 200
     assert (await door.request("POST", PULL, pull()))[0] == 200
     assert not door.gateway.runner.running
+    assert not door.gateway.lots.opening
+    assert door.gateway.ordinary.bodies.held == 0
 
 
 HEADERS = {
@@ -284,3 +286,22 @@
             writer.close()
         await asyncio.sleep(0.05)
         assert (await door.request("GET", "/healthz"))[0] == 200
+
+
+async def test_bodies_of_all_callers_are_bounded_together(door):
+    """Guards against memory that many callers fill together."""
+    door.gateway.ordinary.bodies.max_bytes = 8000
+    held = []
+    for _ in range(2):
+        reader, writer = await door.connect()
+        writer.write(HEAD + b"Content-Length: 4001\r\n\r\n" + b"x" * 4000)
+        held.append((reader, writer))
+        await asyncio.sleep(0.05)
+    answer = await door.request("POST", SERVICE, b"{}")
+    error = error_of(answer)
+    assert (answer[0], error["code"], error["verdict"]) == (503, "overloaded", "not_run")
+    for _, writer in held:
+        writer.close()
+    await asyncio.sleep(0.1)
+    assert door.gateway.ordinary.bodies.held == 0
+    assert (await door.request("POST", "/v1/lots", lot()))[0] == 200
--- a/tests/doors/test_passing.py
+++ b/tests/doors/test_passing.py
@@ -252,6 +252,20 @@
         await until(lambda: door.gateway.runner.running == 0)
 
 
+async def test_caller_that_never_reads_is_cut_off(monkeypatch):
+    """Guards against connections that callers hold for ever without reading."""
+    monkeypatch.setattr("turmericreach.httpserver.protocol.SLOW_READER_TIMEOUT_S", 0.3)
+    endless = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    async with RawServer(endless) as server, open_door(server.url) as door:
+        server.repeated = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        _, writer = await door.connect()
+        writer.write(GET)
+        await asyncio.wait_for(server.arrived.wait(), 1)
+        await asyncio.wait_for(server.connection_lost.wait(), 2)
+        await until(lambda: not door.server.server.server_state.connections)
+        writer.close()
+
+
 async def test_lost_answer_has_its_verdict():
     """Guards against "not run" for a request whose answer was lost."""
     async with RawServer() as server, open_door(server.url) as door:
--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -1,5 +1,7 @@
 """HTTP routes of a gateway."""
 
+import logging
+
 import msgspec
 from blacksheep import Application, Content, Request, Response
 from blacksheep.exceptions import MessageAborted
@@ -27,6 +29,8 @@
 def build_app(gateway) -> Application:
     """Return the ASGI application of a `GatewayDaemon`."""
     app = Application(router=Router())
+    # The library logs a line with the whole path for every refused request.
+    app.logger.setLevel(logging.WARNING)
     routes = GatewayRoutes(gateway)
 
     def add(method: str, path: str, handler) -> None:
@@ -141,7 +145,19 @@
 
     async def body(self, request: Request, max_bytes: int) -> bytes:
         """Read a body within the limits."""
-        return await read_body(request, max_bytes, self.body_timeout_s)
+        return await read_body(
+            request, max_bytes, self.body_timeout_s, self.gateway.ordinary.bodies
+        )
+
+    async def json(self, request: Request, message_type):
+        """Read a small JSON body."""
+        return await read_json(
+            request,
+            message_type,
+            SMALL_BODY_BYTES,
+            self.body_timeout_s,
+            self.gateway.ordinary.bodies,
+        )
 
     async def health(self, request: Request) -> Response:
         """Tell the balancer whether to send requests here."""
@@ -211,7 +227,7 @@
         """Take over a weight version that a trainer announces."""
         who = self.authorize(request, TokenRole.TRAINER)
         self.require_ready()
-        body = await read_json(request, AnnounceRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        body = await self.json(request, AnnounceRequest)
         if not 0 < body.version <= MAX_VERSION:
             raise RequestError(
                 ErrorCode.BAD_REQUEST, f"version must be between 1 and {MAX_VERSION}"
@@ -232,7 +248,7 @@
         """Start or lift the drain of a target."""
         who = self.authorize(request, TokenRole.OPERATOR)
         self.require_ready()
-        body = await read_json(request, DrainRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        body = await self.json(request, DrainRequest)
         return json_response(
             await self.gateway.drain(route_value(request, "target"), body.drain, who)
         )
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -1,6 +1,7 @@
 """Lots of one gateway: coordination of its own, forwarding of the others."""
 
 import asyncio
+import weakref
 
 import msgspec
 
@@ -57,7 +58,9 @@
         self.node = node
         self.context_of = context_of
         self.runners: dict[str, LotRunner] = {}
-        self.opening: dict[str, asyncio.Lock] = {}
+        # A lock lives while somebody holds or awaits it, so calls for lots that do not exist leave
+        # nothing behind.
+        self.opening: weakref.WeakValueDictionary[str, asyncio.Lock] = weakref.WeakValueDictionary()
         self.store = LotStore(node.store)
         self.limits = LotLimits(max_bytes=node.settings.limits.max_lot_bytes)
         self.leaving = False
@@ -234,7 +237,10 @@
 
     def lock(self, lot: str) -> asyncio.Lock:
         """Return the lock that keeps a lot from being opened twice."""
-        return self.opening.setdefault(lot, asyncio.Lock())
+        lock = self.opening.get(lot)
+        if lock is None:
+            lock = self.opening[lot] = asyncio.Lock()
+        return lock
 
     async def pull(self, call: LotCall) -> bytes:
         """Hand finished samples over."""
--- a/turmericreach/daemon/ordinary.py
+++ b/turmericreach/daemon/ordinary.py
@@ -22,7 +22,7 @@
     request_id_of,
     target_path,
 )
-from turmericreach.httpserver import on_end, read_body
+from turmericreach.httpserver import BodyBudget, on_end, read_body
 from turmericreach.manifest import ServiceKind, ServiceSpec
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, TurmericreachError, Verdict
 
@@ -68,12 +68,18 @@
     service_of : callable
         Returns the `ServiceSpec` of a name or None.
     limits : LimitSettings
+
+    Attributes
+    ----------
+    bodies : BodyBudget
+        Bound on the bodies of all requests, including those that are not ordinary.
     """
 
     def __init__(self, runner: RequestRunner, service_of, limits):
         self.runner = runner
         self.service_of = service_of
         self.limits = limits
+        self.bodies = BodyBudget()
 
     async def handle(self, request: Request, service_name: str, authorization: bool) -> Response:
         """Run one request; raises `RequestError` for input that is refused."""
@@ -83,7 +89,7 @@
                 ErrorCode.UNKNOWN_SERVICE, f"service {service_name[:80]} is not declared", 404
             )
         body = await read_body(
-            request, self.limits.max_body_bytes, self.limits.slow_sender_timeout_s
+            request, self.limits.max_body_bytes, self.limits.slow_sender_timeout_s, self.bodies
         )
         caller_request = build_request(request, service, body, authorization)
         stream = CallerStream()
--- a/turmericreach/httpserver/__init__.py
+++ b/turmericreach/httpserver/__init__.py
@@ -1,11 +1,12 @@
 """The HTTP door: connection limits, request limits and error answers."""
 
-from turmericreach.httpserver.body import read_body, read_json
+from turmericreach.httpserver.body import BodyBudget, read_body, read_json
 from turmericreach.httpserver.disconnect import CancelOnDisconnect, on_end
 from turmericreach.httpserver.errors import error_response, json_response
 from turmericreach.httpserver.server import HttpServer, bind_socket
 
 __all__ = [
+    "BodyBudget",
     "CancelOnDisconnect",
     "HttpServer",
     "bind_socket",
--- a/turmericreach/httpserver/body.py
+++ b/turmericreach/httpserver/body.py
@@ -5,18 +5,62 @@
 import msgspec
 from blacksheep import Request
 
+from turmericreach.httpserver.disconnect import on_end
 from turmericreach.verdicts import ErrorCode, RequestError
 
-__all__ = ["read_body", "read_json"]
+__all__ = ["BodyBudget", "read_body", "read_json"]
 
+MAX_HELD_BYTES = 128 * 1024 * 1024
+RETRY_AFTER_S = 1.0
 
-async def read_body(request: Request, max_bytes: int, timeout_s: float) -> bytes:
+
+class BodyBudget:
+    """Bound on the bodies that a process holds at the same time.
+
+    Limits on each body alone would let many connections together fill the memory.
+
+    Attributes
+    ----------
+    held : int
+        Bytes of the bodies of requests that have not ended.
+    """
+
+    def __init__(self, max_bytes: int = MAX_HELD_BYTES):
+        self.max_bytes = max_bytes
+        self.held = 0
+
+    def take(self, scope: dict, size: int) -> None:
+        """Hold bytes until a request ends.
+
+        Raises
+        ------
+        RequestError
+            With `OVERLOADED` if the bound would be exceeded; the request did not run.
+        """
+        if self.held + size > self.max_bytes:
+            raise RequestError(
+                ErrorCode.OVERLOADED,
+                "too many large bodies at the same time",
+                503,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        self.held += size
+        on_end(scope, lambda: self.release(size))
+
+    def release(self, size: int) -> None:
+        """Give bytes back."""
+        self.held -= size
+
+
+async def read_body(
+    request: Request, max_bytes: int, timeout_s: float, budget: BodyBudget
+) -> bytes:
     """Read a body that arrives in time and is not too large.
 
     Raises
     ------
     RequestError
-        With `BODY_TOO_LARGE` or `TIMEOUT`; the request did not run.
+        With `BODY_TOO_LARGE`, `TIMEOUT` or `OVERLOADED`; the request did not run.
     """
     declared = request.get_first_header(b"content-length")
     if declared is not None and declared.isdigit() and int(declared) > max_bytes:
@@ -29,6 +73,7 @@
                 size += len(chunk)
                 if size > max_bytes:
                     raise too_large(max_bytes)
+                budget.take(request.scope, len(chunk))
                 parts.append(chunk)
     except TimeoutError as error:
         raise RequestError(
@@ -42,7 +87,9 @@
     return RequestError(ErrorCode.BODY_TOO_LARGE, f"body is larger than {max_bytes} bytes", 413)
 
 
-async def read_json(request: Request, message_type, max_bytes: int, timeout_s: float):
+async def read_json(
+    request: Request, message_type, max_bytes: int, timeout_s: float, budget: BodyBudget
+):
     """Read a body that is the JSON form of an attrs class.
 
     Raises
@@ -50,7 +97,7 @@
     RequestError
         With `BAD_REQUEST`, naming the field at fault.
     """
-    body = await read_body(request, max_bytes, timeout_s)
+    body = await read_body(request, max_bytes, timeout_s, budget)
     try:
         return msgspec.json.decode(body, type=message_type)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/turmericreach/httpserver/protocol.py
+++ b/turmericreach/httpserver/protocol.py
@@ -15,6 +15,8 @@
 # The router keeps the paths of 1,200 requests in its cache.
 MAX_TARGET_BYTES = 8 * 1024
 RETRY_AFTER_S = 1.0
+# A caller that takes no data for this long is cut off; it would hold its connection for ever.
+SLOW_READER_TIMEOUT_S = 60.0
 
 
 class HeadRefused(Exception):
@@ -28,6 +30,7 @@
         """Refuses surplus connections, heads over a limit and heads that arrive too slowly."""
 
         head_timer = None
+        write_timer = None
         in_head = False
         head_bytes = 0
         refusal = None
@@ -89,12 +92,29 @@
             it would go on for a caller that left.
             """
             self.stop_head_timer()
+            self.stop_write_timer()
             for cycle in self.open_cycles:
                 if not cycle.response_complete:
                     cycle.disconnected = True
                     cycle.message_event.set()
             super().connection_lost(exc)
 
+        def pause_writing(self):
+            """Start the timer of a caller that does not read."""
+            super().pause_writing()
+            self.write_timer = self.loop.call_later(SLOW_READER_TIMEOUT_S, self.transport.abort)
+
+        def resume_writing(self):
+            """Stop the timer: the caller has read."""
+            self.stop_write_timer()
+            super().resume_writing()
+
+        def stop_write_timer(self):
+            """Stop waiting for the caller to read."""
+            if self.write_timer is not None:
+                self.write_timer.cancel()
+                self.write_timer = None
+
         def send_400_response(self, msg):
             """Answer bytes that are no acceptable request.
 
