Refuse HTTP/1.0 for services and answers with no final status

Cause: a streamed answer goes out in chunks, which a caller of HTTP/1.0 takes for the body; a target that answers 101 or 700 made the library close the caller's connection without a word.

Ruled out: sending streams to HTTP/1.0 callers without chunks, since a cut stream could then not be told from a whole one. Health checks over HTTP/1.0 work as before.

--- a/tests/doors/test_bad_input.py
+++ b/tests/doors/test_bad_input.py
@@ -225,6 +225,20 @@
         HEAD + b"X-A: " + b"a" * 70_000 + b"\r\nContent-Length: 0\r\n\r\n",
         (431, "bad_request"),
     ),
+    "old protocol": (
+        HEAD.replace(b"1.1", b"1.0") + b"Content-Length: 0\r\n\r\n",
+        (505, "bad_request"),
+    ),
+    "unknown protocol": (HEAD.replace(b"1.1", b"3.7") + b"\r\n", (400, "bad_request")),
+    "tunnel": (b"CONNECT d:443 HTTP/1.1\r\nHost: d\r\n\r\n", (400, "bad_request")),
+    "star": (b"OPTIONS * HTTP/1.1\r\nHost: d\r\n\r\n", (404, "bad_request")),
+    "upgrade": (
+        b"GET /x HTTP/1.1\r\nHost: d\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+        (404, "bad_request"),
+    ),
+    "no path": (b"GET http://d HTTP/1.1\r\nHost: d\r\n\r\n", (400, "bad_request")),
+    "NUL in a header": (HEAD + b"X-A: a\0b\r\n\r\n", (400, "bad_request")),
+    "NUL in a path": (b"GET /services/portal/\0 HTTP/1.1\r\n\r\n", (400, "bad_request")),
     "header without an end": (HEAD + b"X-A: " + b"a" * 1_000_000, (431, "bad_request")),
     "many headers": (HEAD + b"X-A: a\r\n" * 30_000 + b"\r\n", (431, "bad_request")),
 }
--- a/tests/targets/test_service.py
+++ b/tests/targets/test_service.py
@@ -110,6 +110,10 @@
     "declared": OK + b"Content-Length: 70000\r\n\r\npartial",
     "without a length": OK + b"Content-Type: text/event-stream\r\n\r\ndata: 1\n\n",
     "whole": OK + b"Content-Length: 70\r\n\r\npartial",
+    "status out of range": b"HTTP/1.1 700 S\r\nContent-Length: 0\r\n\r\n",
+    "switched protocol": b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    "no HTTP": b"\x00\xff\r\n\r\n",
+    "nothing": b"",
     "refusal": b"HTTP/1.1 503 S\r\nContent-Length: 70\r\n\r\npartial",
 }
 
--- a/turmericreach/daemon/completions.py
+++ b/turmericreach/daemon/completions.py
@@ -49,7 +49,7 @@
     """
     try:
         body = msgspec.json.decode(attempt.body, type=CompletionBody)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise RequestError(ErrorCode.BAD_REQUEST, f"malformed rollout: {error}") from error
     return GenerationRequest(
         attempt.attempt_id,
--- a/turmericreach/daemon/ordinary.py
+++ b/turmericreach/daemon/ordinary.py
@@ -88,6 +88,9 @@
             raise RequestError(
                 ErrorCode.UNKNOWN_SERVICE, f"service {service_name[:80]} is not declared", 404
             )
+        if request.scope["http_version"] == "1.0":
+            # Streamed answers are sent in chunks, which such a caller would take for the body.
+            raise RequestError(ErrorCode.BAD_REQUEST, "HTTP/1.1 is needed", 505)
         body = await read_body(
             request, self.limits.max_body_bytes, self.limits.slow_sender_timeout_s, self.bodies
         )
--- a/turmericreach/targets/service.py
+++ b/turmericreach/targets/service.py
@@ -24,6 +24,8 @@
 COALESCE_BYTES = 16 * 1024
 COALESCE_S = 0.02
 REFUSED_STATUSES = (429, 503)
+LOWEST_STATUS = 200
+HIGHEST_STATUS = 599
 STATUSES_WITHOUT_BODY = (204, 304)
 EVENT_STREAM = "text/event-stream"
 HOP_HEADERS = frozenset(
@@ -126,6 +128,8 @@
 
     async def read_answer(self, call, response, writer) -> tuple[Outcome, bool]:
         """Read a whole answer or stream it on."""
+        if not LOWEST_STATUS <= response.status <= HIGHEST_STATUS:
+            raise ValueError(f"status {response.status} is no final status")
         check_length_known(response)
         headers = end_to_end([(text(name), text(value)) for name, value in response.raw_headers])
         if response.method == "HEAD" and response.content_length is not None:
