--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -1,14 +1,17 @@
 """HTTP routes of a gateway."""
 
+import logging
 from urllib.parse import unquote
 
 import msgspec
 from blacksheep import Application, Content, Request, Response
+from blacksheep.exceptions import MessageAborted
 from blacksheep.server.routing import Router
 
 from turmericreach.api import AnnounceRequest, DrainRequest, PullRequest
 from turmericreach.daemon.lot_calls import LotCall, LotOperation
 from turmericreach.daemon.lot_service import MAX_PULL_WAIT_S, decode_body
+from turmericreach.daemon.request_paths import request_id_of
 from turmericreach.httpserver import error_response, json_response, read_body, read_json
 from turmericreach.security import TokenRole
 from turmericreach.telemetry import events, log_event
@@ -20,17 +23,23 @@
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 JSON = b"application/json"
 SMALL_BODY_BYTES = 4096
+MAX_VERSION = (1 << 53) - 1
+# The status that web servers log for a caller that left; nobody receives it.
+STATUS_CALLER_LEFT = 499
 
 
 def build_app(gateway) -> Application:
     """Return the ASGI application of a `GatewayDaemon`."""
     app = Application(router=Router())
+    # The library logs a line with the whole path for every refused request.
+    app.logger.setLevel(logging.WARNING)
     routes = GatewayRoutes(gateway)
 
     def add(method: str, path: str, handler) -> None:
         app.router.add(method, path, as_function(handler))
 
     add("GET", "/healthz", routes.health)
+    add("HEAD", "/healthz", routes.health)
     add("POST", "/v1/lots", routes.declare_lot)
     add("GET", "/v1/lots", routes.list_lots)
     add("GET", "/v1/lots/{lot}", routes.lot_status)
@@ -49,7 +58,8 @@
         add(method, "/services/{service}", routes.ordinary)
         add(method, "/services/{service}/*", routes.ordinary)
     app.exceptions_handlers[RequestError] = handle_request_error
-    app.exceptions_handlers[404] = handle_not_found
+    app.router.fallback = make_fallback(app.router)
+    app.exceptions_handlers[MessageAborted] = handle_caller_left
     app.exceptions_handlers[Exception] = handle_unexpected
     return app
 
@@ -75,12 +85,32 @@
 
 async def handle_request_error(app, request: Request, error: RequestError) -> Response:
     """Answer an error with a stable code."""
-    return error_response(error, getattr(error, "request_id", ""))
+    return error_response(error, request_id_of(request))
 
 
-async def handle_not_found(app, request: Request, error) -> Response:
-    """Answer a path that does not exist."""
-    return error_response(RequestError(ErrorCode.BAD_REQUEST, "no such path", 404))
+def make_fallback(router: Router):
+    """Return the handler of requests that no route takes."""
+
+    async def fallback(request: Request) -> Response:
+        path = request.scope["raw_path"]
+        allowed = [
+            method
+            for method in METHODS
+            if any(route.match_by_path(path) for route in router.routes[method.encode()])
+        ]
+        if not allowed:
+            raise RequestError(ErrorCode.BAD_REQUEST, "no such path", 404)
+        error = RequestError(ErrorCode.BAD_REQUEST, "the path does not take this method", 405)
+        response = error_response(error, request_id_of(request))
+        response.add_header(b"Allow", ", ".join(allowed).encode())
+        return response
+
+    return fallback
+
+
+async def handle_caller_left(app, request: Request, error) -> Response:
+    """Answer a caller that left before its body was complete; nothing ran."""
+    return error_response(RequestError(ErrorCode.CANCELLED, "caller left", STATUS_CALLER_LEFT))
 
 
 async def handle_unexpected(app, request: Request, error: Exception) -> Response:
@@ -91,7 +121,8 @@
         where=request.url.path.decode("ascii", "replace"),
     )
     return error_response(
-        RequestError(ErrorCode.INTERNAL, "internal error", 500, Verdict.MAY_HAVE_RUN)
+        RequestError(ErrorCode.INTERNAL, "internal error", 500, Verdict.MAY_HAVE_RUN),
+        request_id_of(request),
     )
 
 
@@ -126,7 +157,19 @@
 
     async def body(self, request: Request, max_bytes: int) -> bytes:
         """Read a body within the limits."""
-        return await read_body(request, max_bytes, self.body_timeout_s)
+        return await read_body(
+            request, max_bytes, self.body_timeout_s, self.gateway.ordinary.bodies
+        )
+
+    async def json(self, request: Request, message_type):
+        """Read a small JSON body."""
+        return await read_json(
+            request,
+            message_type,
+            SMALL_BODY_BYTES,
+            self.body_timeout_s,
+            self.gateway.ordinary.bodies,
+        )
 
     async def health(self, request: Request) -> Response:
         """Tell the balancer whether to send requests here."""
@@ -167,6 +210,11 @@
             raise RequestError(
                 ErrorCode.BAD_REQUEST, f"wait_s must be between 0 and {MAX_PULL_WAIT_S:g}"
             )
+        # A lot never goes below the highest version stated, so a senseless one would end it.
+        if not 0 <= wanted.trainer_version <= MAX_VERSION:
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, f"trainer_version must be between 0 and {MAX_VERSION}"
+            )
         lot = route_value(request, "lot")
         call = LotCall(LotOperation.PULL, lot, body, wanted.wait_s)
         return await self.run_lot_call(call)
@@ -196,7 +244,11 @@
         """Take over a weight version that a trainer announces."""
         who = self.authorize(request, TRAINER, OPERATOR)
         self.require_ready()
-        body = await read_json(request, AnnounceRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        body = await self.json(request, AnnounceRequest)
+        if not 0 < body.version <= MAX_VERSION:
+            raise RequestError(
+                ErrorCode.BAD_REQUEST, f"version must be between 1 and {MAX_VERSION}"
+            )
         return json_response(await self.gateway.announce(route_value(request, "model"), body, who))
 
     async def status(self, request: Request) -> Response:
@@ -213,7 +265,7 @@
         """Start or lift the drain of a target."""
         who = self.authorize(request, TokenRole.OPERATOR)
         self.require_ready()
-        body = await read_json(request, DrainRequest, SMALL_BODY_BYTES, self.body_timeout_s)
+        body = await self.json(request, DrainRequest)
         return json_response(
             await self.gateway.drain(route_value(request, "target"), body.drain, who)
         )
