Wait for a settled count in tests of slow readers

Cause: fixed pauses judge too early on a busy machine.

Ruled out: longer pauses, which slow every run.

Change: the tests wait until the count stops changing, within a bound.

--- a/tests/rpc/test_streams.py
+++ b/tests/rpc/test_streams.py
@@ -83,9 +83,12 @@
         await server.start()
         client = await PeerClient.connect("127.0.0.1", port, Hello("g", "gateway", "d", 2))
         task = asyncio.ensure_future(client.submit(ATTEMPT, 10.0, CallerStream()))
-        await asyncio.sleep(0.3)
-        sent = handler.sent
-        await asyncio.sleep(0.3)
+        sent = -1
+        for _ in range(20):
+            if handler.sent == sent > 0:
+                break
+            sent = handler.sent
+            await asyncio.sleep(0.3)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         client.close()
