--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -6,7 +6,8 @@
 import attrs
 import msgspec
 
-from turmericreach.config import Accepted, Contradiction, Revision, Source
+from turmericreach.config import Accepted, Contradiction, Ignored, Revision, Source
+from turmericreach.daemon.member_watch import MemberWatch
 from turmericreach.daemon.node import Node
 from turmericreach.daemon.revisions import decode_for_state, manifest_of
 from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME, ManifestError
@@ -68,6 +69,7 @@
         self.platform_up: bool | None = None
         self.platform_down_at = node.started_at
         self.report_now = asyncio.Event()
+        self.member_watch = MemberWatch(node, self.is_relay)
 
     def start(self) -> None:
         """Start all loops."""
@@ -77,6 +79,7 @@
             self.hosts_loop,
             self.manifest_loop,
             self.weights_loop,
+            self.member_watch.run,
         ]
         for loop in loops:
             self.tasks.append(asyncio.ensure_future(self.supervise(loop)))
@@ -354,7 +357,7 @@
                 generation=answer.dropped.generation,
                 problem=f"two changes of one generation, kept {answer.kept.change_id}",
             )
-        if not isinstance(answer, Accepted | Contradiction):
+        if isinstance(answer, Ignored):
             log_event(
                 events.GENERATION_IGNORED,
                 generation=revision.generation,
--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -1,5 +1,7 @@
 """HTTP routes of a gateway."""
 
+from urllib.parse import unquote
+
 import msgspec
 from blacksheep import Application, Content, Request, Response
 from blacksheep.server.routing import Router
@@ -220,7 +222,7 @@
         """Return the decisions about a request or a sample."""
         self.authorize(request, TokenRole.OPERATOR)
         path = request.url.path.decode("ascii", "replace")
-        subject = path.removeprefix("/v1/explain/")
+        subject = unquote(path.removeprefix("/v1/explain/"))
         return json_response(await self.gateway.reports.explain(subject))
 
     async def target(self, request: Request) -> Response:
--- a/turmericreach/daemon/lot_calls.py
+++ b/turmericreach/daemon/lot_calls.py
@@ -31,21 +31,21 @@
         JSON body of the caller, or the samples of a hand-over.
     wait : float
         Seconds that a pull may wait.
-    actor : str
-        Who makes the call, for the audit trail.
     spec : bytes
         Lot spec of a hand-over.
     pending : bool
         Whether the lot of a hand-over is not stored in the platform yet.
+    actor : str
+        Who makes the call, for the audit trail.
     """
 
     operation: LotOperation
     lot: str = ""
     body: bytes = b""
     wait: float = 0.0
-    actor: str = ""
     spec: bytes = b""
     pending: bool = False
+    actor: str = ""
 
     def wait_s(self) -> float:
         """Return the seconds that the call may wait."""
--- a/turmericreach/daemon/lot_runner.py
+++ b/turmericreach/daemon/lot_runner.py
@@ -124,9 +124,6 @@
             return
         version = self.context.wanted_version(self.spec.model)
         for task in self.coordinator.next_tasks(self.now(), version, slots, view):
-            if task.copy:
-                sample = self.spec.sample_id(task.ordinal)
-                log_event(events.STRAGGLER_COPIED, sample=sample, target=task.prefer_target)
             running = asyncio.ensure_future(self.roll_out(task))
             self.rollouts[task.task_id] = running
             running.add_done_callback(lambda _, key=task.task_id: self.rollouts.pop(key, None))
@@ -134,7 +131,7 @@
     async def roll_out(self, task: SampleTask) -> None:
         """Run one rollout and report its end to the coordinator."""
         outcome = await self.context.runner.run(
-            self.rollout_request(task), on_sent=lambda sent: self.note_start(task.task_id, sent)
+            self.rollout_request(task), on_sent=lambda sent: self.note_start(task, sent)
         )
         now = self.now()
         result = read_result(outcome)
@@ -147,10 +144,13 @@
         self.apply(actions)
         self.notify()
 
-    def note_start(self, task_id: str, sent: SentAttempt) -> None:
+    def note_start(self, task: SampleTask, sent: SentAttempt) -> None:
         """Tell the coordinator where a rollout really runs."""
         version = self.context.target_version(sent.target)
-        self.coordinator.on_started(task_id, sent.target, version, self.now())
+        self.coordinator.on_started(task.task_id, sent.target, version, self.now())
+        if task.copy:
+            sample = self.spec.sample_id(task.ordinal)
+            log_event(events.STRAGGLER_COPIED, sample=sample, target=sent.target)
 
     def rollout_request(self, task: SampleTask) -> CallerRequest:
         """Return the request of a rollout."""
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -58,11 +58,11 @@
         self.node = node
         self.context_of = context_of
         self.runners: dict[str, LotRunner] = {}
-        self.observer = LotObserver(node)
         self.opening: dict[str, asyncio.Lock] = {}
         self.store = LotStore(node.store)
         self.limits = LotLimits(max_bytes=node.settings.limits.max_lot_bytes)
         self.leaving = False
+        self.observer = LotObserver(node)
 
     # Entry points
 
@@ -240,8 +240,8 @@
             call.wait_s(),
             request.whole_groups,
         )
-        self.trace_hand_over(runner, result)
         self.observer.on_pull(runner, result, self.node.now() - started)
+        self.trace_hand_over(runner, result)
         answer = PullAnswer(result.samples, result.remaining, result.done, result.trainer_version)
         return msgspec.json.encode(answer)
 
--- a/turmericreach/daemon/main.py
+++ b/turmericreach/daemon/main.py
@@ -13,7 +13,6 @@
 from turmericreach import __version__
 from turmericreach.daemon.agent_daemon import AgentDaemon
 from turmericreach.daemon.gateway import GatewayDaemon
-from turmericreach.daemon.member_watch import MemberWatch
 from turmericreach.daemon.node import Node
 from turmericreach.security import TlsContexts, TlsError, protect_secrets
 from turmericreach.settings import DaemonSettings, Role, SettingsError, load_settings
@@ -85,11 +84,7 @@
         version=__version__,
     )
     await daemon.start()
-    watch = MemberWatch(node, daemon.fleet.is_relay)
-    background = [
-        asyncio.ensure_future(log_ready(daemon, node)),
-        asyncio.ensure_future(daemon.fleet.supervise(watch.run)),
-    ]
+    background = [asyncio.ensure_future(log_ready(daemon, node))]
     if tls is not None:
         background.append(asyncio.ensure_future(tls.run()))
     await stopping.wait()
--- a/turmericreach/daemon/reports.py
+++ b/turmericreach/daemon/reports.py
@@ -1,7 +1,6 @@
 """What a gateway tells operators."""
 
 import asyncio
-from urllib.parse import unquote
 
 import attrs
 import msgspec
@@ -133,8 +132,8 @@
         return lots
 
     async def explain(self, subject: str) -> list[dict]:
-        """Return the decisions of all live daemons about a subject, as it stands in a path."""
-        return await inspect_members(self.node, unquote(subject))
+        """Return the decisions of all live daemons about a request or a sample."""
+        return await inspect_members(self.node, subject)
 
     def own_unwritten(self) -> list[AuditRecord]:
         """Return the audit records that this gateway has not written yet."""
