Bind cursors to a lot's content and remove lots that ended

Cause: an acknowledgement after a cancel wrote the cursor object again, and a later lot of the same name would have counted those samples as consumed. A cancelled name answered 200 to a declaration and 409 to pulls. Complete lots were never removed from the object API. Ruled out: keeping a tombstone for each cancelled lot, which would fill the object API just the same. Conclusion: names can be used again without losing samples.

--- a/tests/daemon/test_lots.py
+++ b/tests/daemon/test_lots.py
@@ -8,11 +8,13 @@
 
 from tests.builders.lots import engines, finish, make_spec
 from tests.builders.objectstore import MemoryObjectStore
-from turmericreach.api import PullRequest
+from turmericreach.api import AckRequest, DeclareAnswer, PullRequest
 from turmericreach.daemon.lot_answers import MAX_ANSWER_BYTES, limit_answer
 from turmericreach.daemon.lot_calls import LotCall, LotOperation
 from turmericreach.daemon.lot_runner import LotContext
-from turmericreach.daemon.lot_service import LotService, decode_body
+from turmericreach.daemon.lot_service import IDLE_S, RETENTION_S, LotService, decode_body
+from turmericreach.daemon.lot_store import LotStore
+from turmericreach.daemon.lot_sweep import LotSweeper
 from turmericreach.lots import Cursor, PullResult, encode_lot
 from turmericreach.manifest.schema import Policy
 from turmericreach.rpc import PeerTimeout
@@ -226,3 +228,76 @@
 def test_a_malformed_body_is_refused():
     with pytest.raises(RequestError):
         decode_body(b"\xff", LotCall)
+
+
+def acknowledge_all():
+    body = msgspec.json.encode(AckRequest(Cursor(SPEC.size).add(*range(SPEC.size)).encode()))
+    return LotCall(LotOperation.ACK, SPEC.name, body)
+
+
+async def test_a_late_acknowledgement_does_not_outlive_a_cancelled_lot():
+    """Guards against samples of a new lot that count as consumed because of an old one."""
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    await service.call(declare())
+    await service.call(LotCall(LotOperation.CANCEL, SPEC.name))
+    with pytest.raises(RequestError) as refusal:
+        await service.call(acknowledge_all())
+    assert refusal.value.code == ErrorCode.CANCELLED
+    await asyncio.sleep(3.0)
+    reply = await service.call(declare())
+    answer = msgspec.json.decode(reply.body, type=DeclareAnswer)
+    assert Cursor.decode(answer.cursor, SPEC.size).count() == 0
+    await gateways.end()
+
+
+async def test_a_cancelled_lot_can_be_declared_again():
+    """Guards against a name that is declared but whose pulls say that it was cancelled."""
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    await service.call(declare())
+    await service.call(LotCall(LotOperation.CANCEL, SPEC.name))
+    await service.call(declare())
+    await service.call(pull())
+    await gateways.end()
+
+
+async def test_a_cursor_belongs_to_the_content_of_its_lot():
+    """Guards against another lot of the same name that starts with the old cursor."""
+    store = LotStore(MemoryObjectStore())
+    other = make_spec(scoring_service="", seed=99)
+    await store.save(SPEC)
+    await store.save_cursor(SPEC, Cursor(SPEC.size).add(0, 1))
+    await store.store.delete("lots", SPEC.name)
+    await store.save(other)
+    assert (await store.load(SPEC.name)).cursor.count() == 0
+
+
+async def test_a_complete_lot_leaves_nothing_in_the_platform():
+    """Guards against an object API that fills up with lots that ended."""
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    housekeeping = asyncio.ensure_future(service.run())
+    await service.call(declare())
+    await service.call(acknowledge_all())
+    await asyncio.sleep(RETENTION_S + IDLE_S + 10.0)
+    assert (await gateways.store.list("lots")).items == []
+    assert (await gateways.store.list("lot-cursors")).items == []
+    housekeeping.cancel()
+    await gateways.end()
+
+
+async def test_lots_left_by_lost_coordinators_are_swept():
+    """Guards against lots that completed while their coordinator was lost."""
+    store = LotStore(MemoryObjectStore())
+    await store.save(SPEC)
+    await store.save_cursor(SPEC, Cursor(SPEC.size).add(*range(SPEC.size)))
+    open_spec = make_spec(name="open", scoring_service="")
+    await store.save(open_spec)
+    await store.save_cursor(open_spec, Cursor(open_spec.size).add(0))
+    sweeper = LotSweeper(store)
+    await sweeper.sweep()
+    assert await store.load(SPEC.name) is not None
+    await sweeper.sweep()
+    assert await store.load(SPEC.name) is None
+    assert await store.load("open") is not None
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -16,6 +16,7 @@
 from turmericreach.daemon.inspection import INSPECT, Inspection
 from turmericreach.daemon.lot_runner import LotContext
 from turmericreach.daemon.lot_service import LOT, LotService
+from turmericreach.daemon.lot_sweep import run_sweeps
 from turmericreach.daemon.node import Node
 from turmericreach.daemon.observations import (
     BreakerWatch,
@@ -110,6 +111,7 @@
         loops = (
             self.sync_loop,
             self.lots.run,
+            self.sweep_lots,
             self.rollouts.run,
             self.audit.run,
             self.duty_watch.run,
@@ -156,6 +158,10 @@
         self.sync.configure()
         self.config_audit.note(self.node.config.revision)
 
+    async def sweep_lots(self) -> None:
+        """Remove complete lots whose coordinator was lost."""
+        await run_sweeps(self.node, self.lots.store)
+
     async def sync_loop(self) -> None:
         """Keep the routing table current."""
         while True:
--- a/turmericreach/daemon/lot_runner.py
+++ b/turmericreach/daemon/lot_runner.py
@@ -255,6 +255,10 @@
             trainer=self.spec.trainer,
         )
 
+    def is_cancelled(self) -> bool:
+        """Return whether the lot was cancelled."""
+        return self.coordinator.state.stopped is ErrorCode.CANCELLED
+
     def is_complete(self) -> bool:
         """Return whether every sample was acknowledged or the lot was cancelled."""
         cursor = self.coordinator.cursor
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -1,6 +1,7 @@
 """Lots of one gateway: coordination of its own, forwarding of the others."""
 
 import asyncio
+import contextlib
 import weakref
 
 import msgspec
@@ -43,6 +44,8 @@
 MAX_PULL_WAIT_S = 60.0
 # A lot that nobody pulls from stops using engines; its next pull starts it again.
 IDLE_S = 600.0
+# A trainer that falls back to an older checkpoint finds its lot again within this time.
+RETENTION_S = 3600.0
 
 
 SERVED_BY_SUCCESSOR = frozenset(
@@ -135,7 +138,7 @@
         self.check_references(spec)
         async with self.lock(spec.name):
             runner = self.runners.get(spec.name)
-            if runner is None:
+            if runner is None or runner.is_cancelled():
                 runner = await self.open_declared(spec, call.actor)
             is_redeclaration(runner.spec, spec)
         cursor = runner.coordinator.cursor.encode()
@@ -263,8 +266,9 @@
         """Take over an acknowledged cursor."""
         request = decode_body(call.body, AckRequest)
         runner = await self.find(call.lot)
+        runner.coordinator.refuse_if_stopped()
         runner.acknowledge(Cursor.decode(request.cursor, runner.spec.size))
-        self.store.note_cursor(call.lot, runner.coordinator.cursor)
+        self.store.note_cursor(runner.spec, runner.coordinator.cursor)
         return b"{}"
 
     async def cancel(self, call: LotCall) -> bytes:
@@ -351,7 +355,7 @@
         """Pass one lot on; if the next coordinator cannot take it, the samples are made again."""
         address = self.node.members.records[holder].address
         self.runners.pop(name, None)
-        cancelled = runner.coordinator.state.stopped is ErrorCode.CANCELLED
+        cancelled = runner.is_cancelled()
         body = runner.coordinator.hand_over()
         await runner.stop()
         pending = self.store.pending.pop(name, None) is not None
@@ -370,12 +374,22 @@
             self.node.decide(name, "", f"hand-over to {holder} failed", str(error))
 
     async def drop_idle(self) -> None:
-        """Stop lots that are complete or that nobody pulls from."""
+        """Stop lots that nobody pulls from, and remove complete ones after their retention."""
         for name, runner in list(self.runners.items()):
-            if self.node.now() - runner.last_pull < IDLE_S:
+            idle_s = self.node.now() - runner.last_pull
+            if runner.is_complete() and idle_s < RETENTION_S:
+                continue
+            if idle_s < IDLE_S:
                 continue
             self.runners.pop(name, None)
             await runner.stop()
+            if runner.is_complete():
+                await self.remove_quietly(name)
+
+    async def remove_quietly(self, lot: str) -> None:
+        """Remove a complete lot from the platform; the sweep tries again what fails."""
+        with contextlib.suppress(ObjectStoreError):
+            await self.store.remove(lot)
 
     async def leave(self) -> None:
         """Hand all lots over, for a graceful stop."""
