--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -118,9 +118,7 @@
         }
         if self.leaving and self.has_successor() and call.operation in SERVED_BY_SUCCESSOR:
             # A lot opened here now would end with this process.
-            raise RequestError(
-                ErrorCode.LEAVING, f"gateway {self.node.name} is leaving", 503, retry_after_s=0.2
-            )
+            raise RequestError(ErrorCode.LEAVING, "this gateway leaves", 503, retry_after_s=0.2)
         return LotReply(body=await handlers[call.operation](call))
 
     # Operations at the coordinator
