--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -88,6 +88,8 @@
             try:
                 reply = await self.forward_while_held(holder, call)
             except PeerError as error:
+                if await self.duty_moves(call.lot, holder):
+                    continue
                 raise RequestError(
                     ErrorCode.NOT_READY,
                     f"coordinator {holder} of lot {call.lot} cannot be reached: {error}",
@@ -124,9 +126,7 @@
         }
         if self.leaving and self.has_successor() and call.operation in SERVED_BY_SUCCESSOR:
             # A lot opened here now would end with this process.
-            raise RequestError(
-                ErrorCode.LEAVING, f"gateway {self.node.name} is leaving", 503, retry_after_s=0.2
-            )
+            raise RequestError(ErrorCode.LEAVING, "this gateway leaves", 503, retry_after_s=0.2)
         return LotReply(body=await handlers[call.operation](call))
 
     # Operations at the coordinator
