--- a/tests/attempts/test_claims.py
+++ b/tests/attempts/test_claims.py
@@ -2,10 +2,15 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from tests.attempts.test_runner import make_runner, now, with_claims
 from tests.builders.attempts import FakeAgent, FakeNetwork, make_request
+from tests.builders.objectstore import MemoryObjectStore
+from turmericreach.attempts import ClaimCleaner, ClaimRecord, SentAttempt
+from turmericreach.attempts.claim_cleaner import CLAIM_LIFETIME_S
+from turmericreach.objectstore import ObjectStoreError
 from turmericreach.verdicts import ErrorCode, Verdict
 
 pytestmark = pytest.mark.looptime
@@ -117,3 +122,55 @@
     await make_runner(network).run(order(1))
     await make_runner(network).run(order(2, service="confirmations"))
     assert agent.record.total() == 2
+
+
+class TestCleaner:
+    """Guards against claims that fill the object API, and against removal before their time."""
+
+    def make(self):
+        self.clock = 0.0
+        self.store = MemoryObjectStore()
+        return ClaimCleaner(self.store, lambda: self.clock)
+
+    async def claim(self, name, created_at=0.0):
+        record = ClaimRecord("r", SentAttempt("a", "t", 1, 2), created_at)
+        return await self.store.put("claims", name, msgspec.json.encode(record))
+
+    async def names(self):
+        return [item.name for item in (await self.store.list("claims")).items]
+
+    async def test_a_claim_is_removed_after_its_lifetime_only(self):
+        cleaner = self.make()
+        cleaner.note("orders:k", (await self.claim("orders:k")).version, 0.0)
+        self.clock = CLAIM_LIFETIME_S - 1.0
+        assert await cleaner.remove_expired() == 0
+        assert await self.names() == ["orders:k"]
+        self.clock = CLAIM_LIFETIME_S
+        assert await cleaner.remove_expired() == 1
+        assert await self.names() == []
+
+    async def test_a_claim_that_was_taken_over_stays(self):
+        cleaner = self.make()
+        cleaner.note("orders:k", (await self.claim("orders:k")).version, 0.0)
+        await self.claim("orders:k", CLAIM_LIFETIME_S)
+        self.clock = CLAIM_LIFETIME_S
+        await cleaner.remove_expired()
+        assert await self.names() == ["orders:k"]
+
+    async def test_an_outage_keeps_the_claim_for_the_next_try(self):
+        cleaner = self.make()
+        cleaner.note("orders:k", (await self.claim("orders:k")).version, 0.0)
+        self.clock = CLAIM_LIFETIME_S
+        self.store.faults.down = True
+        with pytest.raises(ObjectStoreError):
+            await cleaner.remove_expired()
+        self.store.faults.down = False
+        assert await cleaner.remove_expired() == 1
+
+    async def test_the_sweep_removes_only_what_lost_processes_left(self):
+        cleaner = self.make()
+        await self.claim("orders:old", 0.0)
+        await self.claim("orders:new", 5000.0)
+        self.clock = CLAIM_LIFETIME_S + 3601.0
+        assert await cleaner.sweep() == 1
+        assert await self.names() == ["orders:new"]
--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -1,9 +1,11 @@
 """Attempts: running a request at a target and establishing whether it ran."""
 
-from turmericreach.attempts.claims import ClaimKeeper, ClaimRecord
+from turmericreach.attempts.claim_cleaner import ClaimCleaner, ClaimRecord
+from turmericreach.attempts.claims import ClaimKeeper
 from turmericreach.attempts.ids import new_attempt_id, new_incarnation, new_request_id
 from turmericreach.attempts.request import CallerRequest
-from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router, SentAttempt
+from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router
+from turmericreach.attempts.sent import SentAttempt
 from turmericreach.attempts.stream import CallerStream
 from turmericreach.attempts.table import (
     MAX_DEADLINE_S,
@@ -21,6 +23,7 @@
     "AttemptTable",
     "CallerRequest",
     "CallerStream",
+    "ClaimCleaner",
     "ClaimKeeper",
     "ClaimRecord",
     "DuplicateAttempt",
--- a/turmericreach/attempts/claims.py
+++ b/turmericreach/attempts/claims.py
@@ -2,35 +2,19 @@
 
 from typing import Protocol
 
-import attrs
 import msgspec
 
+from turmericreach.attempts.claim_cleaner import CLAIM_KIND, ClaimCleaner, ClaimRecord
 from turmericreach.attempts.request import CallerRequest
-from turmericreach.attempts.runner import SentAttempt
+from turmericreach.attempts.sent import SentAttempt
 from turmericreach.objectstore import Conflict, ObjectStore, ObjectStoreError, ResultUnknown
 from turmericreach.rpc import PeerError
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
 __all__ = ["AttemptSettler", "ClaimKeeper", "ClaimRecord"]
 
-CLAIM_KIND = "claims"
 RETRY_AFTER_S = 2.0
-WRITE_TRIES = 3
-
-
-@attrs.frozen
-class ClaimRecord:
-    """The attempt that holds a key.
-
-    Attributes
-    ----------
-    created_at : float
-        Wall-clock time in seconds, for removal of old claims.
-    """
-
-    request_id: str
-    sent: SentAttempt
-    created_at: float = 0.0
+WRITE_TRIES = 4
 
 
 class AttemptSettler(Protocol):
@@ -49,12 +33,18 @@
     settler : AttemptSettler
     wall_clock : callable
         Returns the time of day in seconds.
+
+    Attributes
+    ----------
+    cleaner : ClaimCleaner
+        Removes the claims of this process when they have expired.
     """
 
     def __init__(self, store: ObjectStore, settler: AttemptSettler, wall_clock):
         self.store = store
         self.settler = settler
         self.wall_clock = wall_clock
+        self.cleaner = ClaimCleaner(store, wall_clock)
 
     async def claim(self, request: CallerRequest, sent: SentAttempt, wait_s: float):
         """Claim the key of a request for an attempt that is about to be sent.
@@ -68,20 +58,24 @@
         record = ClaimRecord(request.request_id, sent, self.wall_clock())
         value = msgspec.json.encode(record)
         name = f"{request.service}:{request.key}"
-        for _ in range(WRITE_TRIES):
+        for number in range(WRITE_TRIES):
             try:
-                current = await self.store.get(CLAIM_KIND, name)
+                # Nearly every claim is a new one, so the first try does without reading.
+                current = await self.store.get(CLAIM_KIND, name) if number else None
                 if current is None:
-                    await self.store.put(CLAIM_KIND, name, value, if_absent=True)
+                    stored = await self.store.put(CLAIM_KIND, name, value, if_absent=True)
+                    self.cleaner.note(name, stored.version, record.created_at)
                     return None
                 holder = msgspec.json.decode(current.value, type=ClaimRecord)
                 if holder.sent.attempt_id == sent.attempt_id:
                     # An earlier write took effect and its answer was lost.
+                    self.cleaner.note(name, current.version, record.created_at)
                     return None
                 outcome = await self.settle_holder(holder, wait_s)
                 if outcome.verdict is not Verdict.NOT_RUN:
                     return outcome
-                await self.store.put(CLAIM_KIND, name, value, if_version=current.version)
+                stored = await self.store.put(CLAIM_KIND, name, value, if_version=current.version)
+                self.cleaner.note(name, stored.version, record.created_at)
                 return None
             except (Conflict, ResultUnknown):
                 continue
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -8,6 +8,7 @@
 
 from turmericreach.attempts.ids import new_attempt_id
 from turmericreach.attempts.request import CallerRequest
+from turmericreach.attempts.sent import SentAttempt
 from turmericreach.attempts.stream import CallerStream
 from turmericreach.routing import (
     Choice,
@@ -29,7 +30,7 @@
 )
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
-__all__ = ["AttemptObserver", "Peers", "RequestRunner", "Router", "SentAttempt"]
+__all__ = ["AttemptObserver", "Peers", "RequestRunner", "Router"]
 
 SETTLE_TIMEOUT_S = 2.0
 SETTLE_TRIES = 2
@@ -75,22 +76,6 @@
         """Close the connection to the agent beside a target."""
 
 
-@attrs.frozen
-class SentAttempt:
-    """Address of an attempt that was sent: what is needed to settle it.
-
-    Attributes
-    ----------
-    deadline_ms : int
-        Deadline on the agent's clock.
-    """
-
-    attempt_id: str
-    target: str
-    incarnation: int
-    deadline_ms: int
-
-
 class AttemptObserver(Protocol):
     """Told about each attempt before it is sent and about each decision."""
 
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -16,7 +16,6 @@
 from turmericreach.daemon.inspection import INSPECT, Inspection
 from turmericreach.daemon.lot_runner import LotContext
 from turmericreach.daemon.lot_service import LOT, LotService
-from turmericreach.daemon.lot_sweep import run_sweeps
 from turmericreach.daemon.node import Node
 from turmericreach.daemon.observations import (
     BreakerWatch,
@@ -28,6 +27,7 @@
 from turmericreach.daemon.reports import UNWRITTEN, Reports
 from turmericreach.daemon.rollout import WeightRollouts, save_wanted
 from turmericreach.daemon.routing_sync import AgentPeers, RoutingSync
+from turmericreach.daemon.sweeps import Sweeps
 from turmericreach.daemon.target_drain import DrainWriter
 from turmericreach.httpserver import CancelOnDisconnect, HttpServer, bind_socket
 from turmericreach.lots import LotSpec
@@ -72,6 +72,7 @@
         )
         self.claims = ClaimKeeper(node.store, self, node.wall_clock)
         self.lots = LotService(node, self.lot_context)
+        self.sweeps = Sweeps(node, self.lots.store, self.claims.cleaner)
         self.lots.observer.record = self.record
         self.rollouts = WeightRollouts(node, self.fleet.take_wanted, self.record)
         self.audit = AuditLog(
@@ -111,7 +112,7 @@
         loops = (
             self.sync_loop,
             self.lots.run,
-            self.sweep_lots,
+            self.sweeps.run,
             self.rollouts.run,
             self.audit.run,
             self.duty_watch.run,
@@ -158,10 +159,6 @@
         self.sync.configure()
         self.config_audit.note(self.node.config.revision)
 
-    async def sweep_lots(self) -> None:
-        """Remove complete lots whose coordinator was lost."""
-        await run_sweeps(self.node, self.lots.store)
-
     async def sync_loop(self) -> None:
         """Keep the routing table current."""
         while True:
--- a/turmericreach/daemon/lot_sweep.py
+++ b/turmericreach/daemon/lot_sweep.py
@@ -1,20 +1,10 @@
 """Removal of complete lots whose coordinator was lost before it removed them."""
 
-import asyncio
-import contextlib
-
 import msgspec
 
 from turmericreach.daemon.lot_store import CURSOR_KIND, LotStore, StoredCursor
-from turmericreach.daemon.node import Node
-from turmericreach.objectstore import ObjectStoreError
-from turmericreach.ownership import owner
-
-__all__ = ["LotSweeper", "run_sweeps"]
 
-# Longer than the retention of a complete lot, so that its coordinator comes first.
-SWEEP_INTERVAL_S = 2 * 3600.0
-SWEEP_DUTY = "lot-sweep"
+__all__ = ["LotSweeper"]
 
 
 class LotSweeper:
@@ -40,15 +30,3 @@
         for lot in sorted(complete & self.complete):
             await self.store.remove(lot)
         self.complete = complete - self.complete
-
-
-async def run_sweeps(node: Node, store: LotStore) -> None:
-    """Sweep regularly while this gateway holds the duty."""
-    sweeper = LotSweeper(store)
-    while True:
-        await asyncio.sleep(SWEEP_INTERVAL_S)
-        if owner(SWEEP_DUTY, node.members.gateways(node.now())) != node.name:
-            sweeper.complete.clear()
-            continue
-        with contextlib.suppress(ObjectStoreError):
-            await sweeper.sweep()
