Follow the host list in agents, refuse manifests that cannot be decoded, pause grants

Cause: an agent on a leaving host refused no work by itself; a stored manifest of an unknown form ended the loops that follow the platform once a second; refusals of the weight store never reached the planner of a rollout. Ruled out: relying on gateways alone for the host list, since a gateway with an old view would still be served. Housekeeping of lots moves out of lot_service.

--- /dev/null
+++ b/tests/daemon/test_agent_daemon.py
@@ -0,0 +1,85 @@
+"""An agent whose host leaves, and grants while the weight store refuses downloads."""
+
+import asyncio
+import types
+
+import msgspec
+import pytest
+
+from turmericreach.attempts import new_attempt_id
+from turmericreach.config import ConfigState, Source
+from turmericreach.daemon.agent_daemon import AgentDaemon
+from turmericreach.daemon.config_installer import ConfigInstaller
+from turmericreach.daemon.convergence import ConvergenceLoop
+from turmericreach.daemon.node import Node
+from turmericreach.daemon.rollout import GRANT, GrantMessage, GrantReply
+from turmericreach.rpc import Attempt
+from turmericreach.settings import DaemonSettings, Role
+from turmericreach.targets import EngineError
+from turmericreach.telemetry import Metrics
+from turmericreach.verdicts import ErrorCode, Verdict
+from turmericreach.weights import Action, ActionKind, FencingNumbers, WantedTable
+
+pytestmark = pytest.mark.looptime
+
+
+async def make_agent():
+    settings = DaemonSettings(Role.AGENT, "a1", "tampere")
+    return AgentDaemon(Node(settings, asyncio.get_running_loop().time()))
+
+
+async def close(agent):
+    await agent.session.close()
+    await agent.fresh_session.close()
+    await agent.node.close()
+
+
+async def test_an_agent_refuses_work_once_its_host_is_listed_as_leaving():
+    """Guards against work that a gateway with an old view still sends to a leaving host."""
+    agent = await make_agent()
+    own = agent.node.members.own
+    agent.attempts.targets["t1"] = types.SimpleNamespace(start_leaving=lambda: None)
+    agent.follow_host_list()
+    assert not agent.attempts.leaving
+    agent.node.members.mark_leaving(own.name, own.started_ms)
+    agent.follow_host_list()
+    attempt = Attempt("r", new_attempt_id(), "t1", agent.node.incarnation, 10_000)
+    outcome = await agent.attempts.submit(attempt, None)
+    assert (outcome.verdict, outcome.code) == (Verdict.NOT_RUN, ErrorCode.LEAVING)
+    await close(agent)
+
+
+class RefusingEngine:
+    """An engine whose weight store answers 429."""
+
+    async def order(self, order):
+        raise EngineError(ErrorCode.OVERLOADED, "store", Verdict.NOT_RUN, 7.0)
+
+
+async def test_a_grant_tells_the_planner_that_the_weight_store_refuses():
+    """Guards against a planner that goes on granting downloads against the rate limit."""
+    agent = await make_agent()
+    hosted = types.SimpleNamespace(
+        engine=RefusingEngine(),
+        version=1,
+        spec=types.SimpleNamespace(name="t1", checks_orders=False),
+    )
+    loop = ConvergenceLoop(
+        hosted, WantedTable(), FencingNumbers(1), "", lambda: None, Metrics("", "a1")
+    )
+    agent.loops["t1"] = loop
+    body = msgspec.json.encode(GrantMessage("t1", 2, 4.0))
+    first = msgspec.json.decode(await agent.control(GRANT, body), type=GrantReply)
+    await loop.order(Action(ActionKind.PREPARE, 2, 5), asyncio.get_running_loop())
+    second = msgspec.json.decode(await agent.control(GRANT, body), type=GrantReply)
+    assert (first.store_refused_s, second.store_refused_s) == (0.0, 7.0)
+    await close(agent)
+
+
+async def test_a_stored_manifest_that_cannot_be_decoded_is_refused():
+    """Guards against a daemon whose loops end at a manifest of an unknown form."""
+    installed = []
+    node = types.SimpleNamespace(config=ConfigState(0.0), now=lambda: 0.0)
+    installer = ConfigInstaller(node, lambda: installed.append(1), lambda: None)
+    installer.offer_stored(b"\xff not a revision", Source.PLATFORM)
+    assert (installed, node.config.generation) == ([], 0)
--- a/tests/daemon/test_lots.py
+++ b/tests/daemon/test_lots.py
@@ -11,8 +11,9 @@
 from turmericreach.api import AckRequest, DeclareAnswer, PullRequest
 from turmericreach.daemon.lot_answers import MAX_ANSWER_BYTES, limit_answer
 from turmericreach.daemon.lot_calls import LotCall, LotOperation
+from turmericreach.daemon.lot_housekeeping import IDLE_S, RETENTION_S
 from turmericreach.daemon.lot_runner import LotContext
-from turmericreach.daemon.lot_service import IDLE_S, RETENTION_S, LotService, decode_body
+from turmericreach.daemon.lot_service import LotService, decode_body
 from turmericreach.daemon.lot_store import LotStore
 from turmericreach.daemon.lot_sweep import LotSweeper
 from turmericreach.lots import Cursor, PullResult, encode_lot
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -12,7 +12,7 @@
 from turmericreach.daemon.hosted import HostedTarget
 from turmericreach.daemon.inspection import INSPECT, Inspection
 from turmericreach.daemon.node import START_SHIFT, Node
-from turmericreach.daemon.rollout import GRANT, GrantMessage
+from turmericreach.daemon.rollout import GRANT, GrantMessage, GrantReply
 from turmericreach.daemon.target_drain import (
     DRAIN,
     WORK,
@@ -201,12 +201,21 @@
         """Apply site hours and latency to the limits and report the load."""
         while True:
             await asyncio.sleep(STEER_INTERVAL_S)
+            self.follow_host_list()
             wall = datetime.datetime.now(datetime.UTC)
             for hosted in self.attempts.targets.values():
                 hosted.steer(self.node.now(), wall)
                 self.observe(hosted)
             self.publish()
 
+    def follow_host_list(self) -> None:
+        """Refuse new attempts once the platform lists this host as leaving."""
+        if self.attempts.leaving or self.node.members.own.state == "live":
+            return
+        self.attempts.start_leaving()
+        for name in self.attempts.targets:
+            log_event(events.TARGET_LEAVING, target=name, reason="the host is leaving")
+
     def observe(self, hosted: HostedTarget) -> None:
         """Send the gauges of a target, and log when a drained one has no work left."""
         name = hosted.spec.name
@@ -299,8 +308,9 @@
             grant = msgspec.json.decode(body, type=GrantMessage)
             loop = self.loops.get(grant.target)
             if loop is not None:
-                loop.grant(grant.version, grant.seconds)
-            return b""
+                refused_s = loop.grant(grant.version, grant.seconds)
+                return msgspec.json.encode(GrantReply(refused_s))
+            return msgspec.json.encode(GrantReply())
         if kind == DRAIN:
             self.set_drain(msgspec.json.decode(body, type=DrainMessage))
             return b""
--- a/turmericreach/daemon/convergence.py
+++ b/turmericreach/daemon/convergence.py
@@ -58,15 +58,24 @@
         self.on_change = on_change
         self.woken = asyncio.Event()
         self.swap_started_at = 0.0
+        self.store_refused_until = 0.0
 
     def wake(self) -> None:
         """Decide again at once, because a wanted version or a grant is new."""
         self.woken.set()
 
-    def grant(self, version: int, seconds: float) -> None:
-        """Allow the download of a version before its activation, for some seconds."""
-        self.converger.grant(version, asyncio.get_running_loop().time() + seconds)
+    def grant(self, version: int, seconds: float) -> float:
+        """Allow the download of a version before its activation, for some seconds.
+
+        Returns
+        -------
+        float
+            Seconds for which the weight store asked to wait, 0 for none.
+        """
+        now = asyncio.get_running_loop().time()
+        self.converger.grant(version, now + seconds)
         self.wake()
+        return max(0.0, self.store_refused_until - now)
 
     def take_wanted(self) -> None:
         """Pass the wanted versions of the target's model on to the converger."""
@@ -179,6 +188,7 @@
         except EngineError as error:
             result = failed_result(error)
         if result.kind is ResultKind.BUSY:
+            self.store_refused_until = loop.time() + result.retry_after_s
             log_event(events.WEIGHT_STORE_LIMITED, seconds=result.retry_after_s)
         elif result.kind is not ResultKind.OK:
             log_event(events.SWAP_FAILED, target=name, version=action.version, error=result.error)
--- a/turmericreach/daemon/fleet.py
+++ b/turmericreach/daemon/fleet.py
@@ -6,12 +6,12 @@
 import attrs
 import msgspec
 
-from turmericreach.config import Accepted, Contradiction, Ignored, Revision, Source
+from turmericreach.config import Source
+from turmericreach.daemon.config_installer import ConfigInstaller
 from turmericreach.daemon.exchanges import Exchanges
 from turmericreach.daemon.member_watch import MemberWatch
 from turmericreach.daemon.node import Node
-from turmericreach.daemon.revisions import decode_for_state, manifest_of
-from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME, ManifestError
+from turmericreach.manifest import MANIFEST_KIND, MANIFEST_NAME
 from turmericreach.membership import (
     Digest,
     DigestReply,
@@ -61,7 +61,6 @@
 
     def __init__(self, node: Node, on_config, on_wanted):
         self.node = node
-        self.on_config = on_config
         self.on_wanted = on_wanted
         self.hosts: list[HostRecord] = []
         self.tasks: list[asyncio.Task] = []
@@ -70,6 +69,7 @@
         self.platform_up: bool | None = None
         self.platform_down_at = node.started_at
         self.report_now = asyncio.Event()
+        self.installer = ConfigInstaller(node, on_config, self.report_now.set)
         self.exchanges = Exchanges()
         self.member_watch = MemberWatch(node, self.is_relay)
 
@@ -179,7 +179,7 @@
         """Get the configuration that a peer has in force."""
         body = await client.control(REVISION, b"", CALL_TIMEOUT_S)
         if body:
-            self.offer(decode_for_state(body), Source.PEER)
+            self.installer.offer_stored(body, Source.PEER)
 
     # Digests between data centres
 
@@ -344,7 +344,7 @@
     def take_manifest(self, name: str, value: bytes) -> None:
         """Take over a manifest from the platform."""
         if name == MANIFEST_NAME:
-            self.offer(decode_for_state(value), Source.PLATFORM)
+            self.installer.offer_stored(value, Source.PLATFORM)
 
     def take_stored_version(self, name: str, value: bytes) -> None:
         """Take over a wanted version from the platform."""
@@ -352,43 +352,3 @@
             self.take_wanted([msgspec.json.decode(value, type=WantedVersion)])
         except msgspec.DecodeError as error:
             log_event(events.INTERNAL_ERROR, error=str(error), where=f"{WEIGHTS_KIND}/{name}")
-
-    def offer(self, revision: Revision, source: Source) -> None:
-        """Put a revision in force if it is newer."""
-        answer = self.node.config.offer(revision, source, self.node.now())
-        if isinstance(answer, Contradiction):
-            log_event(
-                events.CONFIGURATION_REFUSED,
-                generation=answer.dropped.generation,
-                problem=f"two changes of one generation, kept {answer.kept.change_id}",
-            )
-        if isinstance(answer, Ignored):
-            log_event(
-                events.GENERATION_IGNORED,
-                generation=revision.generation,
-                source=source,
-                current=answer.generation,
-            )
-        if not isinstance(answer, Accepted) and not (
-            isinstance(answer, Contradiction) and answer.replaced
-        ):
-            return
-        try:
-            self.install(self.node.config.revision)
-        except ManifestError as error:
-            log_event(
-                events.CONFIGURATION_REFUSED, generation=revision.generation, problem=str(error)
-            )
-
-    def install(self, revision: Revision) -> None:
-        """Put the manifest of a revision in force."""
-        manifest = manifest_of(revision)
-        self.node.install(manifest)
-        self.node.members.set_own(self.node.now(), generation=revision.generation)
-        log_event(
-            events.GENERATION_IN_FORCE,
-            generation=revision.generation,
-            change_id=revision.change_id,
-        )
-        self.on_config()
-        self.report_now.set()
--- a/turmericreach/daemon/lot_service.py
+++ b/turmericreach/daemon/lot_service.py
@@ -1,7 +1,6 @@
 """Lots of one gateway: coordination of its own, forwarding of the others."""
 
 import asyncio
-import contextlib
 import weakref
 
 import msgspec
@@ -16,10 +15,9 @@
 from turmericreach.attempts import MAX_DEADLINE_S
 from turmericreach.daemon.lot_answers import limit_answer
 from turmericreach.daemon.lot_calls import LotCall, LotOperation, LotReply
-from turmericreach.daemon.lot_duties import LOT, LotDuties
-from turmericreach.daemon.lot_observer import LotObserver
+from turmericreach.daemon.lot_duties import LOT
+from turmericreach.daemon.lot_housekeeping import LotHousekeeping
 from turmericreach.daemon.lot_runner import LotRunner
-from turmericreach.daemon.lot_store import LotStore
 from turmericreach.daemon.node import Node
 from turmericreach.lots import (
     Cursor,
@@ -27,7 +25,6 @@
     LotSpec,
     check_lot,
     decode_lot,
-    encode_lot,
     is_redeclaration,
 )
 from turmericreach.objectstore import ObjectStoreError
@@ -37,15 +34,9 @@
 
 __all__ = ["LOT", "LotService"]
 
-HOUSEKEEPING_S = 1.0
 # Agents refuse deadlines beyond their limit; the margin covers the way there.
 DEADLINE_MARGIN_S = 60.0
-HAND_OVER_TIMEOUT_S = 20.0
 MAX_PULL_WAIT_S = 60.0
-# A lot that nobody pulls from stops using engines; its next pull starts it again.
-IDLE_S = 600.0
-# A trainer that falls back to an older checkpoint finds its lot again within this time.
-RETENTION_S = 3600.0
 
 
 SERVED_BY_SUCCESSOR = frozenset(
@@ -53,7 +44,7 @@
 )
 
 
-class LotService(LotDuties):
+class LotService(LotHousekeeping):
     """Answers lot calls, here or at the lot's coordinator.
 
     Parameters
@@ -70,12 +61,10 @@
         # A lock lives while somebody holds or awaits it, so calls for lots that do not exist leave
         # nothing behind.
         self.opening: weakref.WeakValueDictionary[str, asyncio.Lock] = weakref.WeakValueDictionary()
-        self.store = LotStore(node.store)
         self.limits = LotLimits(
             max_bytes=node.settings.limits.max_lot_bytes,
             max_deadline_s=MAX_DEADLINE_S - DEADLINE_MARGIN_S,
         )
-        self.observer = LotObserver(node)
 
     # Entry points
 
@@ -333,74 +322,6 @@
         runner.notify()
         return b"{}"
 
-    # Housekeeping
-
-    async def run(self) -> None:
-        """Store cursors and pending lots, and pass on lots whose duty has moved."""
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_S)
-            await self.store.flush(self.runners)
-            await self.pass_on_moved()
-            await self.drop_idle()
-            self.observer.count_waste(self.runners)
-
-    async def pass_on_moved(self) -> None:
-        """Hand over the lots that another gateway coordinates now."""
-        for name, runner in list(self.runners.items()):
-            holder = self.coordinator_of(name)
-            if holder is not None and holder != self.node.name:
-                await self.hand_over(name, runner, holder)
-
-    async def hand_over(self, name: str, runner: LotRunner, holder: str) -> None:
-        """Pass one lot on; if the next coordinator cannot take it, the samples are made again."""
-        address = self.node.members.records[holder].address
-        self.runners.pop(name, None)
-        cancelled = runner.is_cancelled()
-        body = runner.coordinator.hand_over()
-        await runner.stop()
-        pending = self.store.pending.pop(name, None) is not None
-        call = LotCall(
-            LotOperation.TAKE_OVER,
-            name,
-            body,
-            spec=encode_lot(runner.spec),
-            pending=pending,
-            cancelled=cancelled,
-        )
-        try:
-            client = await self.node.peers.get(address)
-            await client.control(LOT, msgspec.json.encode(call), HAND_OVER_TIMEOUT_S)
-        except PeerError as error:
-            self.node.decide(name, "", f"hand-over to {holder} failed", str(error))
-
-    async def drop_idle(self) -> None:
-        """Stop lots that nobody pulls from, and remove complete ones after their retention."""
-        for name, runner in list(self.runners.items()):
-            idle_s = self.node.now() - runner.last_pull
-            if runner.is_complete() and idle_s < RETENTION_S:
-                continue
-            if idle_s < IDLE_S:
-                continue
-            self.runners.pop(name, None)
-            await runner.stop()
-            if runner.is_complete():
-                await self.remove_quietly(name)
-
-    async def remove_quietly(self, lot: str) -> None:
-        """Remove a complete lot from the platform; the sweep tries again what fails."""
-        with contextlib.suppress(ObjectStoreError):
-            await self.store.remove(lot)
-
-    async def leave(self) -> None:
-        """Hand all lots over, for a graceful stop."""
-        self.leaving = True
-        await self.store.flush(self.runners)
-        await self.pass_on_moved()
-        for runner in self.runners.values():
-            # The lot does not end here: its trainer asks another gateway, or this one's successor.
-            runner.coordinator.hand_over()
-            await runner.stop()
-
 
 def unknown_lot(reason: str) -> RequestError:
     """Return the error for a lot that is not known."""
--- a/turmericreach/daemon/rollout.py
+++ b/turmericreach/daemon/rollout.py
@@ -12,7 +12,7 @@
 from turmericreach.telemetry import events, log_event
 from turmericreach.weights import RolloutPlanner, TargetProgress, WantedVersion
 
-__all__ = ["GRANT", "GrantMessage", "WeightRollouts"]
+__all__ = ["GRANT", "GrantMessage", "GrantReply", "WeightRollouts"]
 
 GRANT = "grant"
 WEIGHTS_KIND = "weights"
@@ -29,6 +29,19 @@
     seconds: float
 
 
+@attrs.frozen
+class GrantReply:
+    """Answer to a grant.
+
+    Attributes
+    ----------
+    store_refused_s : float
+        Seconds for which the weight store asked the target to wait, 0 for none.
+    """
+
+    store_refused_s: float = 0.0
+
+
 class WeightRollouts:
     """Plans the rollouts of the models whose duty falls to this gateway.
 
@@ -72,7 +85,7 @@
                 planner = self.planners[model.name] = RolloutPlanner(model)
             planner.want(wanted, now)
             plan = planner.plan(self.progress(model.name, now), now)
-            await asyncio.gather(*(self.send_grant(grant) for grant in plan.grants))
+            await asyncio.gather(*(self.send_grant(planner, grant) for grant in plan.grants))
             if plan.activate is not None:
                 await self.activate(plan.activate, now)
         await self.save_pending()
@@ -99,7 +112,7 @@
                 return TargetProgress(name, status.prepared, status.version, usable)
         return TargetProgress(name, usable=False)
 
-    async def send_grant(self, grant) -> None:
+    async def send_grant(self, planner: RolloutPlanner, grant) -> None:
         """Tell an agent that its target may download."""
         holder = self.node.members.holder_of(grant.target, self.node.now())
         if holder is None:
@@ -108,7 +121,10 @@
             client = await self.node.peers.get(holder.address)
             left_s = grant.expires_at - self.node.now()
             body = msgspec.json.encode(GrantMessage(grant.target, grant.version, left_s))
-            await client.control(GRANT, body, CALL_TIMEOUT_S)
+            answer = await client.control(GRANT, body, CALL_TIMEOUT_S)
+            refused_s = msgspec.json.decode(answer, type=GrantReply).store_refused_s
+            if refused_s > 0:
+                planner.on_store_refusal(self.node.now(), refused_s)
         except PeerError:
             self.node.peers.drop(holder.address)
 
