Let a lot go on after a burst of weight versions

Cause: the forecast of the next version used the interval of a burst for ever, so a lot started no rollout that was longer than a few of these intervals, and gave up the one it had, until another version came; a trainer that waits for its samples announces none. Ruled out: the teardown of the state machine; it lets everything work again for 2,000 s. Change: a version that is overdue by three intervals is no longer forecast. The test of unexpected errors runs without straggler copies, which hid the missing mechanism.

--- a/tests/daemon/test_lots.py
+++ b/tests/daemon/test_lots.py
@@ -64,7 +64,7 @@
             now=asyncio.get_running_loop().time,
             settings=types.SimpleNamespace(limits=types.SimpleNamespace(max_lot_bytes=1 << 26)),
             manifest=types.SimpleNamespace(
-                policy=Policy(),
+                policy=Policy(straggler_copies=0),
                 trainers=[types.SimpleNamespace(name="fitting", max_open_lots=5)],
             ),
             services={"assistant": types.SimpleNamespace(model="assistant")},
@@ -201,15 +201,15 @@
     service = gateways.services["g1"]
     failures = 0
 
-    async def fail_twice():
+    async def fail_at_first():
         nonlocal failures
         failures += 1
-        if failures <= 2:
+        if failures <= SPEC.size:
             raise KeyError("unexpected")
         await asyncio.sleep(1.0)
         return Outcome(Verdict.MAY_HAVE_RUN)
 
-    gateways.roll_out = fail_twice
+    gateways.roll_out = fail_at_first
     await service.call(declare())
     await asyncio.sleep(30.0)
     assert failures > SPEC.size
--- a/tests/lots/test_coordinator.py
+++ b/tests/lots/test_coordinator.py
@@ -320,3 +320,14 @@
         coordinator.pull(Cursor(cursor), version, count, 1.0)
     assert caught.value.code == "bad_request"
     assert coordinator.state.highest == 0
+
+
+def test_versions_that_came_in_a_burst_do_not_stop_a_lot_for_ever():
+    coordinator = make_coordinator(make_spec(staleness_bound=0, max_tokens=1000))
+    view = engines(("e1", 4, 4, 10.0))
+    for version in (1, 2, 3, 4):
+        assert coordinator.next_tasks(version * 0.1, version, 0, view) == []
+    early = coordinator.next_tasks(0.5, 4, 4, view)
+    assert len(early) < 4
+    assert coordinator.cancel_hopeless(5.0, 4) == []
+    assert len(early) + len(coordinator.next_tasks(5.0, 4, 4, view)) == 4
--- a/turmericreach/lots/estimates.py
+++ b/turmericreach/lots/estimates.py
@@ -16,6 +16,7 @@
 EXPECTED_PERCENTILE = 60.0
 DEFAULT_SPEED = 50.0
 SPEED_SMOOTHING = 0.2
+OVERDUE_INTERVALS = 3
 INTERVALS_KEPT = 8
 # A rollout that outlasts its estimate is expected to run on for half of what it has produced.
 OVERRUN_FACTOR = 1.5
@@ -127,6 +128,11 @@
         interval = self.interval
         if math.isinf(interval):
             return self.version
+        elapsed = now - self.changed_at
+        if elapsed > OVERDUE_INTERVALS * interval:
+            # The versions came in a burst, or the trainer waits for the samples of this lot. A
+            # forecast from the old interval would keep every long rollout from starting.
+            return self.version
         # A version that is overdue is expected at any moment, not several at once.
-        elapsed = min(now - self.changed_at, interval)
+        elapsed = min(elapsed, interval)
         return self.version + int((elapsed + duration_s) / interval)
