--- a/tests/builders/deployment.py
+++ b/tests/builders/deployment.py
@@ -118,11 +118,11 @@
         async with ApiConnection(self.layout.urls) as connection:
             await TrainerClient(connection).announce(model, version)
 
-    async def order(self, gateway, number, key=""):
+    async def order(self, gateway, number, key="", deadline_ms=ORDER_DEADLINE_MS):
         """Place an order; return its verdict, None if the connection broke."""
         headers = {
             "Turmericreach-Request-Id": f"order-{number}",
-            "Turmericreach-Deadline-Ms": str(ORDER_DEADLINE_MS),
+            "Turmericreach-Deadline-Ms": str(deadline_ms),
         }
         if key:
             headers["Idempotency-Key"] = key
@@ -175,12 +175,15 @@
         self.version = 0
         self.cursor = Cursor(spec.size)
         self.arrived = asyncio.Condition()
+        self.pulling = asyncio.Event()
+        self.pulling.set()
 
     async def run(self):
         async with ApiConnection(self.urls) as connection:
             client = TrainerClient(connection)
             run = await client.run(self.spec, self.version)
             while not run.done:
+                await self.pulling.wait()
                 run.trainer_version = self.version
                 for sample in await run.pull(8, 2.0):
                     self.check(sample, run.trainer_version)
--- a/tests/processes/test_lots.py
+++ b/tests/processes/test_lots.py
@@ -74,10 +74,13 @@
         await trainer.wait_for(4)
         await deployment.fault("palette-1", fail_swaps=1)
         await deployment.fault("palette-2", wrong_swap=1)
+        # Samples of version 0 wait at the coordinator until they are too old for version 2.
+        trainer.pulling.clear()
         for version in (1, 2):
             await deployment.announce(version)
             await asyncio.sleep(1.5)
-            trainer.version = version
+        trainer.version = 2
+        trainer.pulling.set()
         await finish(trainer, task)
 
         async def converged():
--- a/tests/processes/test_orders.py
+++ b/tests/processes/test_orders.py
@@ -56,10 +56,14 @@
         for number in range(40):
             assert await deployment.order(number % 2, number) == "answered"
         assert (await deployment.call("GET", record))[1]["total"] == before
+        await deployment.fault("ordering-2", latency_ms=3000)
+        slow = asyncio.ensure_future(deployment.order(1, "slow", deadline_ms=9000))
+        await asyncio.sleep(0.3)
         stopping = asyncio.ensure_future(deployment.group.terminate("agent-b"))
         await asyncio.sleep(3.0)
         ran = (await deployment.executions()).keys()
         verdict = await deployment.order(0, "late")
         assert verdict == "not_run"
         assert (await deployment.executions()).keys() == ran
+        assert await slow == "answered"
         assert await stopping == 0
