Add the policy benchmark's models in virtual time

Cause: the policy goals of the design have not been measured. Ruled out: the whole daemons on a virtual loop, which would be a cluster simulator.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the policy, of the cost and of the capacity."""
--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policy benchmark: the project's decision packages in virtual time."""
--- /dev/null
+++ b/benchmarks/policy/target.py
@@ -0,0 +1,300 @@
+"""A target with its agent: admission, execution, weight convergence and reports."""
+
+import collections
+import datetime
+
+import attrs
+
+from benchmarks.policy.engine import EngineModel, Stream
+from benchmarks.policy.workloads import BATCH_SLOWDOWN
+from turmericreach.limits import (
+    Admission,
+    Admitted,
+    Priority,
+    Queued,
+    Refused,
+    RolloutWindow,
+    SiteCalendar,
+    Ticket,
+)
+from turmericreach.routing import LoadReport
+from turmericreach.verdicts import ErrorCode, Outcome, Verdict
+from turmericreach.weights import ActionKind, ActionResult, FencingNumbers, ResultKind
+from turmericreach.weights import TargetConverger
+
+__all__ = ["Attempt", "FcfsAdmission", "TargetModel"]
+
+NOON = datetime.datetime(2026, 3, 2, 12, tzinfo=datetime.UTC)
+STEER_S = 1.0
+CONVERGE_S = 0.25
+PREPARE_S = 1.0
+SWAP_S = 0.2
+# A prefix of 256 tokens, prefilled 20 times faster than tokens are generated.
+PREFILL_TOKENS = 256 / 20.0
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One attempt at a target and who is told its outcome."""
+
+    id: str
+    request: object
+    reply: object
+    stream: Stream | None = None
+    started_at: float = 0.0
+    began_version: int = 0
+
+
+class FcfsAdmission:
+    """One queue for everything, first come first served; the baselines use it."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.running = {}
+        self.queue = collections.OrderedDict()
+
+    def offer(self, ticket, now):
+        """Start a ticket or let it wait."""
+        if len(self.running) < self.slots:
+            self.running[ticket.id] = ticket
+            return Admitted()
+        self.queue[ticket.id] = ticket
+        return Queued(len(self.queue) - 1)
+
+    def release(self, ticket_id, now, tokens=None):
+        """Free a slot and return the tickets that start."""
+        if self.running.pop(ticket_id, None) is None or not self.queue:
+            return []
+        ticket_id, ticket = self.queue.popitem(last=False)
+        self.running[ticket_id] = ticket
+        return [ticket_id]
+
+    def withdraw(self, ticket_id):
+        """Take out a waiting ticket."""
+        return self.queue.pop(ticket_id, None) is not None
+
+    def loads(self):
+        """Return the numbers of running and waiting tickets."""
+        return len(self.running), len(self.queue)
+
+
+class TargetModel:
+    """One target and what its agent does for it.
+
+    Parameters
+    ----------
+    world : World
+    spec : TargetSpec
+    service : ServiceSpec
+    fcfs : bool
+        Whether the agent of a baseline serves it.
+    """
+
+    def __init__(self, world, spec, service, fcfs):
+        self.world = world
+        self.clock = world.clock
+        self.spec = spec
+        self.is_model = service.name == "model"
+        if self.is_model:
+            self.engine = EngineModel(
+                self.clock, spec.name, spec.speed, BATCH_SLOWDOWN, PREFILL_TOKENS
+            )
+        else:
+            self.engine = EngineModel(self.clock, spec.name, 1.0, 0.0)
+        shares = {trainer.name: trainer.share for trainer in world.workload.shares()}
+        policy = world.policy
+        self.fcfs = fcfs
+        self.admission = (
+            FcfsAdmission(spec.slots) if fcfs else Admission(spec, service, policy, shares)
+        )
+        self.window = RolloutWindow(spec.slots, policy, 0.0)
+        self.calendar = SiteCalendar(world.workload.sites())
+        self.attempts = {}
+        self.converger = TargetConverger(FencingNumbers(1))
+        self.prepared = 1
+        self.reachable = True
+        self.swap_fails_until = 0.0
+        self.ordering = False
+        self.tick()
+
+    def tick(self):
+        """Steer the limits once a second and report."""
+        now = self.clock.now
+        if not self.fcfs:
+            if self.is_model:
+                reserved = self.calendar.reserved_slots(
+                    self.spec.slots, NOON + datetime.timedelta(seconds=now)
+                )
+                self.begin_all(self.admission.set_reserved(reserved, now))
+                self.begin_all(self.admission.set_rollout_limit(self.window.update(now), now))
+            for ticket_id in self.admission.expire(now):
+                self.give_up(ticket_id, ErrorCode.DEADLINE_EXCEEDED)
+        self.clock.after(self.world.report_lag_s, self.world.deliver, self.report())
+        self.clock.after(STEER_S, self.tick)
+
+    def loads(self):
+        """Return the numbers of running and waiting attempts."""
+        if self.fcfs:
+            return self.admission.loads()
+        snapshot = self.admission.snapshot()
+        return sum(snapshot.running.values()), sum(snapshot.waiting.values())
+
+    def report(self):
+        """Return the load report; the gateway dates it with its arrival, as the daemon does."""
+        running, waiting = self.loads()
+        state = "live" if self.reachable else "suspect"
+        version = self.engine.version if self.is_model else 0
+        return LoadReport(
+            self.spec.name, state, version, running, waiting, self.spec.slots, self.clock.now
+        )
+
+    # Attempts
+
+    def offer(self, attempt):
+        """Take an attempt that arrived."""
+        request = attempt.request
+        if self.is_model and request.min_version > self.engine.version:
+            self.answer(attempt, Outcome(Verdict.NOT_RUN, ErrorCode.NOT_READY, retry_after_s=1.0))
+            return
+        ticket = Ticket(
+            attempt.id,
+            Priority(request.priority),
+            trainer=request.trainer,
+            expires_at=request.deadline,
+            cost=self.world.variant.ticket_cost(request),
+        )
+        self.attempts[attempt.id] = attempt
+        answer = self.admission.offer(ticket, self.clock.now)
+        if isinstance(answer, Admitted):
+            self.begin(attempt)
+        if isinstance(answer, Refused):
+            del self.attempts[attempt.id]
+            outcome = Outcome(Verdict.NOT_RUN, answer.code, retry_after_s=answer.retry_after_s)
+            self.answer(attempt, outcome)
+
+    def begin_all(self, ticket_ids):
+        """Begin the attempts that now hold a slot."""
+        for ticket_id in ticket_ids:
+            self.begin(self.attempts[ticket_id])
+
+    def begin(self, attempt):
+        """Begin an attempt; a dead back end refuses the connection."""
+        if not self.engine.up:
+            self.clock.after(0.001, self.finish, attempt, unreachable())
+            return
+        request = attempt.request
+        attempt.started_at = self.clock.now
+        attempt.began_version = self.engine.version
+        request.note_begin()
+        attempt.stream = Stream(
+            request.tokens,
+            request.prefix,
+            request.trainer,
+            lambda segments: self.finish(attempt, self.success(request, segments)),
+        )
+        self.engine.start(attempt.stream)
+
+    def success(self, request, segments):
+        """Return the outcome of a finished stream."""
+        return Outcome(
+            Verdict.ANSWERED, status=200, segments=segments if request.service == "model" else []
+        )
+
+    def finish(self, attempt, outcome):
+        """Free the slot and answer."""
+        if self.attempts.pop(attempt.id, None) is None:
+            return
+        now = self.clock.now
+        tokens = sum(segment.tokens for segment in outcome.segments)
+        self.begin_all(self.admission.release(attempt.id, now, tokens or None))
+        if attempt.request.priority == "ordinary" and outcome.verdict is Verdict.ANSWERED:
+            if not self.fcfs:
+                rollouts = self.admission.counts[Priority.ROLLOUT]
+                self.window.on_ordinary(now - attempt.started_at, rollouts, now)
+        self.answer(attempt, outcome)
+
+    def answer(self, attempt, outcome):
+        """Send an outcome with the load to the gateway."""
+        running, _ = self.loads()
+        outcome = attrs.evolve(outcome, load=running)
+        self.clock.after(self.world.workload.link_delay_s, attempt.reply, outcome)
+
+    def give_up(self, ticket_id, code):
+        """Refuse an attempt that waited."""
+        attempt = self.attempts.pop(ticket_id, None)
+        if attempt is not None:
+            self.answer(attempt, Outcome(Verdict.NOT_RUN, code))
+
+    def cancel(self, attempt_id):
+        """Stop an attempt whose result is not needed."""
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is None or self.admission.withdraw(attempt_id):
+            return
+        if attempt.stream is not None:
+            self.engine.cancel(attempt.stream)
+        self.begin_all(self.admission.release(attempt_id, self.clock.now))
+
+    # Faults
+
+    def crash(self, down_s):
+        """Kill the back end; it comes back empty, on the first version."""
+        running = [item for item in self.attempts.values() if item.stream is not None]
+        self.engine.crash()
+        for attempt in running:
+            self.finish(attempt, Outcome(Verdict.MAY_HAVE_RUN, ErrorCode.TARGET_FAILED))
+        if not self.is_model:
+            self.clock.after(2.0, self.notice_crash)
+        self.clock.after(down_s, self.restart)
+
+    def notice_crash(self):
+        """Report a plain target as down after a failed health check."""
+        self.reachable = self.engine.up
+
+    def restart(self):
+        """Bring the back end up again."""
+        self.engine.up = True
+        self.reachable = self.reachable or not self.is_model
+        self.prepared = 1
+        if self.is_model:
+            self.engine.activate(1)
+
+    # Weights
+
+    def converge(self):
+        """Take the next step towards the wanted version."""
+        self.clock.after(CONVERGE_S, self.converge)
+        if self.ordering:
+            return
+        now = self.clock.now
+        action = self.converger.next_action(now)
+        if action.kind is ActionKind.WAIT:
+            return
+        if not self.engine.up:
+            self.reachable = False
+            self.converger.on_action_result(action, ActionResult(ResultKind.LOST), now)
+            return
+        self.reachable = True
+        if action.kind is ActionKind.READ:
+            self.converger.observe(self.engine.version, self.prepared, now)
+            return
+        self.ordering = True
+        delay_s = PREPARE_S if action.kind is ActionKind.PREPARE else SWAP_S
+        self.clock.after(delay_s, self.end_order, action)
+
+    def end_order(self, action):
+        """End an order; a failed swap changes nothing."""
+        self.ordering = False
+        now = self.clock.now
+        result = ResultKind.OK if self.engine.up else ResultKind.LOST
+        if action.kind is ActionKind.ACTIVATE and now < self.swap_fails_until:
+            result = ResultKind.FAILED
+        if result is ResultKind.OK and action.kind is ActionKind.PREPARE:
+            self.prepared = action.version
+        if result is ResultKind.OK and action.kind is ActionKind.ACTIVATE:
+            self.engine.activate(action.version)
+        self.converger.on_action_result(action, ActionResult(result), now)
+
+
+def unreachable():
+    """Return the outcome of a refused connection."""
+    return Outcome(Verdict.NOT_RUN, ErrorCode.TARGET_UNREACHABLE)
