Move the room for rollouts into routing and add trial variants

Cause: the engine view of a lot was in the daemon, where its constants could not be compared. Change: rollout_room in routing with its constants in RoutingPolicy (the release's values are the defaults); SchedulingPolicy in lots; the benchmark passes both.

--- a/benchmarks/policy/gateway.py
+++ b/benchmarks/policy/gateway.py
@@ -1,12 +1,11 @@
 """A gateway: target choice, retries and the load view, in virtual time."""
 
 import random
-from types import SimpleNamespace
 
 import attrs
 
 from benchmarks.policy.target import Attempt
-from turmericreach.daemon.routing_sync import RoutingSync
+from turmericreach.lots import EngineState, EngineView
 from turmericreach.routing import (
     ChoiceRequest,
     Refusal,
@@ -16,6 +15,7 @@
     RoutingTable,
     TargetState,
     retry_cause,
+    rollout_room,
 )
 from turmericreach.verdicts import ErrorCode, Verdict
 
@@ -99,9 +99,10 @@
         self.table.mark(report.target, report.state, self.clock.now)
 
     def engine_view(self, share, outstanding):
-        """Return the engine view of the daemon's own code."""
-        return RoutingSync.engine_view(
-            SimpleNamespace(table=self.table), "model", share, outstanding
+        """Return the engines on which a lot may start rollouts."""
+        rooms = rollout_room(self.table, "model", share, outstanding)
+        return EngineView(
+            [EngineState(room.target, room.version, room.free, room.speed) for room in rooms]
         )
 
     def run(self, request):
--- a/benchmarks/policy/target.py
+++ b/benchmarks/policy/target.py
@@ -19,8 +19,13 @@
 )
 from turmericreach.routing import LoadReport
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
-from turmericreach.weights import ActionKind, ActionResult, FencingNumbers, ResultKind
-from turmericreach.weights import TargetConverger
+from turmericreach.weights import (
+    ActionKind,
+    ActionResult,
+    FencingNumbers,
+    ResultKind,
+    TargetConverger,
+)
 
 __all__ = ["Attempt", "FcfsAdmission", "TargetModel"]
 
@@ -41,6 +46,7 @@
     request: object
     reply: object
     stream: Stream | None = None
+    arrived_at: float = 0.0
     started_at: float = 0.0
     began_version: int = 0
 
@@ -107,7 +113,7 @@
         self.admission = (
             FcfsAdmission(spec.slots) if fcfs else Admission(spec, service, policy, shares)
         )
-        self.window = RolloutWindow(spec.slots, policy, 0.0)
+        self.window = RolloutWindow(spec.slots, policy, 0.0, world.variant.window)
         self.calendar = SiteCalendar(world.workload.sites())
         self.attempts = {}
         self.converger = TargetConverger(FencingNumbers(1))
@@ -163,6 +169,7 @@
             expires_at=request.deadline,
             cost=self.world.variant.ticket_cost(request),
         )
+        attempt.arrived_at = self.clock.now
         self.attempts[attempt.id] = attempt
         answer = self.admission.offer(ticket, self.clock.now)
         if isinstance(answer, Admitted):
@@ -207,16 +214,20 @@
         now = self.clock.now
         tokens = sum(segment.tokens for segment in outcome.segments)
         self.begin_all(self.admission.release(attempt.id, now, tokens or None))
-        if attempt.request.priority == "ordinary" and outcome.verdict is Verdict.ANSWERED:
-            if not self.fcfs:
-                rollouts = self.admission.counts[Priority.ROLLOUT]
-                self.window.on_ordinary(now - attempt.started_at, rollouts, now)
+        ordinary = attempt.request.priority == "ordinary"
+        if ordinary and outcome.verdict is Verdict.ANSWERED and not self.fcfs:
+            rollouts = self.admission.counts[Priority.ROLLOUT]
+            began = attempt.started_at
+            if self.world.variant.window_counts_waiting:
+                began = attempt.arrived_at
+            self.window.on_ordinary(now - began, rollouts, now)
         self.answer(attempt, outcome)
 
     def answer(self, attempt, outcome):
         """Send an outcome with the load to the gateway."""
-        running, _ = self.loads()
-        outcome = attrs.evolve(outcome, load=running)
+        running, waiting = self.loads()
+        load = running + waiting if self.world.variant.load_counts_waiting else running
+        outcome = attrs.evolve(outcome, load=load)
         self.clock.after(self.world.workload.link_delay_s, attempt.reply, outcome)
 
     def give_up(self, ticket_id, code):
--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from turmericreach.limits import WindowPolicy
+from turmericreach.lots import SchedulingPolicy
 from turmericreach.routing import BudgetPolicy, RetryCause, RoutingPolicy
 from turmericreach.verdicts import ErrorCode, Verdict
 
@@ -39,6 +41,10 @@
     shares_models: bool = True
     expected_cost: bool = True
     rollouts: bool = True
+    scheduling: SchedulingPolicy | None = None
+    load_counts_waiting: bool = True
+    window: WindowPolicy | None = None
+    window_counts_waiting: bool = True
 
     def ticket_cost(self, request):
         """Return the cost that admission charges when a ticket starts."""
@@ -53,13 +59,30 @@
 
 ENDLESS = {cause: BudgetPolicy(1.0, 1e6, 1e6, 5) for cause in RetryCause}
 
+RELEASE = Variant(
+    "release",
+    shares_models=False,
+    expected_cost=False,
+    load_counts_waiting=False,
+    window_counts_waiting=False,
+    routing=RoutingPolicy(lot_queue_factor=1.0, spread_by_speed=False),
+    scheduling=SchedulingPolicy(waits_for_fast_engines=False),
+)
+R=RoutingPolicy
+NT=SchedulingPolicy(waits_for_fast_engines=False)
+Q=R(lot_queue_factor=2,spread_by_speed=True,waiting_weight=0.0)
 VARIANTS = {
     variant.name: variant
     for variant in [
         Variant("round_robin", "round_robin"),
         Variant("least_outstanding", "least_outstanding"),
-        Variant("release", shares_models=False, expected_cost=False),
-        Variant("current", shares_models=False, expected_cost=False),
+        RELEASE,
+        Variant("w_none",window_counts_waiting=False,routing=Q),
+        Variant("w_wait",routing=Q),
+        Variant("w_slow",routing=Q,window=WindowPolicy(recover_s=20,increase_s=5)),
+        Variant("w_slow75",routing=Q,window=WindowPolicy(recover_s=20,increase_s=5,decrease=0.7)),
+        Variant("w_vslow",routing=Q,window=WindowPolicy(recover_s=30,increase_s=10,decrease=0.7)),
+        Variant("w_vslow2",routing=Q,window=WindowPolicy(recover_s=30,increase_s=10,decrease=0.5,slow_ratio=1.2,calm_ratio=1.1)),
         Variant("weighting_0", weighting=0.0),
         Variant("weighting_0.5", weighting=0.5),
         Variant("weighting_1", weighting=1.0),
--- a/benchmarks/policy/workloads.py
+++ b/benchmarks/policy/workloads.py
@@ -77,7 +77,7 @@
     plain_idempotent: bool
     trainers: list[TrainerLoad]
     weighting: float
-    lookups_per_s: float = 4.0
+    lookups_per_s: float = 8.0
     lookup_tokens: float = 20.0
     plain_per_s: float = 10.0
     steps: int = 2
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -22,6 +22,8 @@
 __all__ = ["World"]
 
 MAX_RUN_S = 3600.0
+# Ordinary requests alone, as between two steps of the trainers, so that their latency is known.
+WARM_UP_S = 30.0
 STEP_PAUSE_S = 10.0
 PLAN_S = 0.5
 PUSH_DELAY_S = 0.2
@@ -30,10 +32,10 @@
 PLAIN_SERVICE_S = 0.03
 ORDINARY_DEADLINE_S = 60.0
 PLAIN_DEADLINE_S = 10.0
-CRASH_AT_S, CRASH_S = 40.0, 40.0
+CRASH_AT_S, CRASH_S = 60.0, 40.0
 SWAP_FAILS_S = 200.0
 OUTAGE_AT_S, OUTAGE_S = 100.0, 90.0
-COORDINATOR_CRASH_AT_S = 60.0
+COORDINATOR_CRASH_AT_S = 80.0
 
 
 @attrs.define
@@ -119,7 +121,7 @@
         plain = random.Random(f"plain/{self.workload.name}/{self.seed}")
         self.clock.after(1.0, self.look_up, ordinary)
         self.clock.after(1.0, self.order, plain)
-        self.clock.after(5.0, self.begin_step)
+        self.clock.after(WARM_UP_S, self.begin_step)
 
     def schedule_fault(self):
         """Schedule the fault of the run."""
--- a/turmericreach/daemon/routing_sync.py
+++ b/turmericreach/daemon/routing_sync.py
@@ -5,7 +5,7 @@
 from turmericreach.daemon.node import Node
 from turmericreach.lots import EngineState, EngineView
 from turmericreach.membership import MemberRecord, TargetStatus
-from turmericreach.routing import LoadReport, RoutingTable, TargetState
+from turmericreach.routing import LoadReport, RoutingTable, TargetState, rollout_room
 from turmericreach.rpc import PeerClient, PeerUnreachable
 
 __all__ = ["AgentPeers", "RoutingSync"]
@@ -19,9 +19,6 @@
     "down": TargetState.SUSPECT,
     "gone": TargetState.GONE,
 }
-# Rollouts may wait at an engine beyond its slots by this share, so that a slot that becomes free
-# is taken without a round trip and the agent can divide slots fairly among trainers.
-QUEUE_AHEAD_SHARE = 0.5
 
 
 @attrs.define
@@ -117,32 +114,12 @@
         outstanding : int
             Rollouts that the lot has in flight.
         """
-        engines = []
-        total_slots = 0
-        for record in self.table.records.values():
-            if record.spec.service != service or record.state is not TargetState.LIVE:
-                continue
-            total_slots += record.slots
-            ahead = max(1, int(record.slots * QUEUE_AHEAD_SHARE))
-            free = max(0, record.slots + ahead - record.load_view())
-            speed = record.speed or record.spec.speed
-            engines.append(EngineState(record.spec.name, record.version, free, speed))
-        owed = int(total_slots * share) - outstanding
-        if sum(engine.free_slots for engine in engines) >= owed:
-            return EngineView(engines)
-        return EngineView(spread(engines, owed))
-
-
-def spread(engines: list[EngineState], slots: int) -> list[EngineState]:
-    """Return the engines with at least `slots` free slots in total, evenly raised."""
-    raised = []
-    left = slots
-    for position, engine in enumerate(engines):
-        portion = -(-left // (len(engines) - position))
-        free = max(engine.free_slots, portion)
-        left -= portion
-        raised.append(attrs.evolve(engine, free_slots=free))
-    return raised
+        return EngineView(
+            [
+                EngineState(room.target, room.version, room.free, room.speed)
+                for room in rollout_room(self.table, service, share, outstanding)
+            ]
+        )
 
 
 class AgentPeers:
--- a/turmericreach/lots/__init__.py
+++ b/turmericreach/lots/__init__.py
@@ -29,6 +29,7 @@
     lot_digest,
     lot_objects,
 )
+from turmericreach.lots.state import SchedulingPolicy
 
 __all__ = [
     "Action",
@@ -47,6 +48,7 @@
     "RolloutResult",
     "Sample",
     "SampleTask",
+    "SchedulingPolicy",
     "Score",
     "SpeedModel",
     "VersionClock",
--- a/turmericreach/lots/scheduling.py
+++ b/turmericreach/lots/scheduling.py
@@ -13,6 +13,8 @@
 PROBE_TASKS = 2
 # A copy must be clearly faster, since every copy throws the tokens of one rollout away.
 COPY_GAIN = 0.8
+# Expected lengths are uncertain, so a rollout waits only for a clearly faster engine.
+TAIL_FACTOR = 1.5
 # Forecasts of new versions vary, so a running rollout is given up only one version later.
 FORECAST_MARGIN_VERSIONS = 1
 
@@ -26,6 +28,8 @@
     slots: int
     engines: list
     free: dict
+    drain_s: float | None = None
+    fastest: float = 0.0
     tasks: list = attrs.field(factory=list)
 
     def fits(self, engine, tokens):
@@ -35,6 +39,16 @@
         ends_at = self.state.clock.forecast(self.now, duration)
         return ends_at - engine.version <= spec.staleness_bound
 
+    def prolongs(self, engine, tokens):
+        """Return whether a rollout would end later here than if it waits for a faster engine.
+
+        Near the end of a lot, a long rollout on a slow engine lasts longer than everything else.
+        """
+        if self.drain_s is None:
+            return False
+        shortest_s = tokens / self.fastest
+        return tokens / self.speed(engine) > max(self.drain_s, 0.0) + TAIL_FACTOR * shortest_s
+
     def speed(self, engine):
         """Return the single-stream speed of an engine."""
         return self.state.speeds.speed(engine.target)
@@ -45,6 +59,8 @@
         for engine in self.engines:
             if self.free[engine.target] <= 0 or not self.fits(engine, tokens):
                 continue
+            if self.prolongs(engine, tokens):
+                continue
             if engine.target == home:
                 return engine
             if best is None or self.speed(engine) > self.speed(best):
@@ -115,6 +131,9 @@
     if state.failure_streak >= STORM_FAILURES:
         slots = min(slots, PROBE_TASKS - len(state.tasks))
     plan = Plan(state, now, slots, view.engines, free)
+    if state.scheduling.waits_for_fast_engines:
+        plan.drain_s = drain_s(state, now, view.engines)
+        plan.fastest = max((plan.speed(engine) for engine in view.engines), default=0.0)
     may_begin = state.buffered_bytes <= max_buffered_bytes
     waiting = 0
     for group in ranked_groups(state):
@@ -131,6 +150,21 @@
     return plan.tasks
 
 
+def drain_s(state, now, engines):
+    """Return the expected seconds until the lot's work is done if all engines share it.
+
+    The speed that the lot gets is taken from its rollouts in flight.
+    """
+    tokens = sum(
+        len(ordinals) * expected_tokens(state, state.spec.ordinal(group, 0))
+        for group, ordinals in state.queue.items()
+        if ordinals
+    )
+    speed = sum(state.speeds.speed(task.target) for task in state.tasks.values())
+    speed = speed or sum(state.speeds.speed(engine.target) for engine in engines)
+    return tokens / speed if speed else 0.0
+
+
 def ranked_groups(state):
     """Return the groups with queued samples in the order of starting.
 
--- a/turmericreach/routing/__init__.py
+++ b/turmericreach/routing/__init__.py
@@ -11,6 +11,7 @@
     TargetState,
 )
 from turmericreach.routing.result import AttemptResult, classify, retry_cause
+from turmericreach.routing.rollouts import RolloutRoom, rollout_room
 from turmericreach.routing.table import RoutingTable
 
 __all__ = [
@@ -24,9 +25,11 @@
     "RetryBudget",
     "RetryCause",
     "RetryCounts",
+    "RolloutRoom",
     "RoutingPolicy",
     "RoutingTable",
     "TargetState",
     "classify",
     "retry_cause",
+    "rollout_room",
 ]
--- a/turmericreach/routing/model.py
+++ b/turmericreach/routing/model.py
@@ -115,6 +115,14 @@
         Age, and number at each target, up to which a cached prefix is assumed to exist.
     max_backoff_s : float
         Longest time that a refusal for overload keeps a class away from a target.
+    queue_ahead_share : float
+        Rollouts that may wait at a target, as a share of its slots, so that a slot that becomes
+        free is taken without a round trip and the agent can divide slots among trainers.
+    lot_queue_factor : float
+        Rollouts that a lot may always have in flight, as a multiple of its share of the slots.
+        Above 1, the agents always have a waiting rollout of each trainer to choose from.
+    spread_by_speed : bool
+        Whether these are divided among the engines by speed rather than evenly.
     """
 
     samples_per_tier: int = 2
@@ -130,6 +138,9 @@
     prefix_ttl_s: float = 120.0
     prefix_entries: int = 256
     max_backoff_s: float = 5.0
+    queue_ahead_share: float = 0.5
+    lot_queue_factor: float = 1.0
+    spread_by_speed: bool = False
     breaker_threshold: int = 5
     breaker_open_s: float = 1.0
     breaker_max_open_s: float = 30.0
