--- /dev/null
+++ b/benchmarks/capacity/run.py
@@ -0,0 +1,32 @@
+"""All slopes of the capacity benchmark."""
+
+from benchmarks.capacity.relay import measure_relay
+from benchmarks.capacity.tables import (
+    measure_configuration,
+    measure_lot,
+    measure_routing,
+    measure_weights,
+)
+from demo.layout import free_ports
+
+__all__ = ["measure_capacity"]
+
+DAEMONS = [10, 20, 40, 57]
+TARGETS = [12, 120, 1200]
+SAMPLES = [1024, 4096, 8192]
+CONCURRENCY = [4, 16, 32, 40, 64, 128, 300]
+WORKERS = 1200
+
+
+def measure_capacity():
+    """Run the slopes one after the other and return a list of rows for each."""
+    ports = free_ports(len(DAEMONS))
+    return {
+        "relay": [
+            measure_relay(daemons, port) for daemons, port in zip(DAEMONS, ports, strict=True)
+        ],
+        "routing": [measure_routing(targets) for targets in TARGETS],
+        "lot": [measure_lot(samples) for samples in SAMPLES],
+        "configuration": [measure_configuration(targets) for targets in TARGETS],
+        "weights": [measure_weights(WORKERS, concurrency) for concurrency in CONCURRENCY],
+    }
--- a/benchmarks/cost/load.py
+++ b/benchmarks/cost/load.py
@@ -126,5 +126,3 @@
     await asyncio.gather(*running, return_exceptions=True)
     ended = time.perf_counter() - began
     return summarize(latencies, number - len(latencies), ended, sum(produced))
-
-
--- a/benchmarks/cost/run.py
+++ b/benchmarks/cost/run.py
@@ -4,7 +4,6 @@
 import tempfile
 from pathlib import Path
 
-
 from benchmarks.cost.deployment import running_deployment
 from benchmarks.cost.load import call_in_parallel, call_one_by_one, session, stream_at_rate
 from turmericreach.client import TrainerClient
@@ -165,5 +164,3 @@
 def measure_cost():
     """Run the cost benchmark and return its figures by phase."""
     return asyncio.run(measure())
-
-
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -131,7 +131,7 @@
         if self.fault == "failed_swap":
             self.engines[0].swap_fails_until = SWAP_FAILS_S
         if self.fault == "coordinator_crash" and self.trainers:
-            self.clock.at(COORDINATOR_CRASH_AT_S, self.trainers[-1].crash)
+            self.clock.at(COORDINATOR_CRASH_AT_S, self.trainers[1].crash)
 
     def deliver(self, report):
         """Bring a report to the gateways."""
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -335,4 +335,5 @@
         lot=request.lot,
         trainer=request.trainer,
         min_version=request.min_version,
+        expected_tokens=request.expected_tokens,
     )
--- a/turmericreach/daemon/agent.py
+++ b/turmericreach/daemon/agent.py
@@ -78,8 +78,7 @@
             log_event(events.INTERNAL_ERROR, error=type(error).__name__, where="attempt")
             outcome = self.table.unknown(ErrorCode.INTERNAL, f"unexpected {type(error).__name__}")
         self.report(attempt, outcome)
-        running, _ = target.in_flight()
-        return with_load(outcome, running)
+        return with_load(outcome, sum(target.in_flight()))
 
     def forget(self, attempt_id: str, task: asyncio.Task) -> None:
         """Drop the task of an attempt that ended."""
@@ -162,6 +161,6 @@
         return len(pending)
 
 
-def with_load(outcome: Outcome, running: int) -> Outcome:
+def with_load(outcome: Outcome, load: int) -> Outcome:
     """Return the outcome with the target's load, which is fresher than any report."""
-    return attrs.evolve(outcome, load=running)
+    return attrs.evolve(outcome, load=load)
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -123,6 +123,7 @@
     async def run(self, entry: AttemptEntry, attempt: Attempt, writer) -> Outcome:
         """Admit and execute an attempt; the entry is left in a final state."""
         loop = asyncio.get_running_loop()
+        arrived = loop.time()
         refusal = await self.admit(entry, attempt, loop)
         if refusal is not None:
             return refusal
@@ -139,7 +140,7 @@
             outcome, streamed = await self.execute(attempt, entry, writer)
             return outcome
         finally:
-            self.finish(entry, attempt, outcome, streamed, started, loop.time())
+            self.finish(entry, attempt, outcome, streamed, arrived, loop.time())
 
     async def admit(self, entry, attempt: Attempt, loop) -> Outcome | None:
         """Wait for a slot; return the refusal if there is none."""
@@ -154,7 +155,7 @@
             priority=Priority(attempt.priority),
             trainer=attempt.trainer,
             expires_at=entry.deadline,
-            cost=1.0,
+            cost=float(max(1, attempt.expected_tokens)),
         )
         answer = self.admission.offer(ticket, loop.time())
         if isinstance(answer, Admitted):
@@ -179,7 +180,7 @@
             return entry.outcome
         return self.table.revoke(entry, code, reason)
 
-    def finish(self, entry, attempt, outcome, streamed, started, now) -> None:
+    def finish(self, entry, attempt, outcome, streamed, arrived, now) -> None:
         """Record the outcome and free the slot."""
         tokens = sum(segment.tokens for segment in outcome.segments)
         self.wake(self.admission.release(attempt.attempt_id, now, tokens or None))
@@ -187,7 +188,8 @@
             self.table.finish(entry, outcome, answer_kept=not streamed)
         if attempt.priority == Priority.ORDINARY and outcome.verdict is Verdict.ANSWERED:
             rollouts = self.admission.counts[Priority.ROLLOUT]
-            self.window.on_ordinary(now - started, rollouts, now)
+            # The wait counts, since rollouts slow requests down mostly by holding every slot.
+            self.window.on_ordinary(now - arrived, rollouts, now)
 
     async def execute(self, attempt: Attempt, entry, writer) -> tuple[Outcome, bool]:
         """Send an attempt to the target."""
--- a/turmericreach/limits/window.py
+++ b/turmericreach/limits/window.py
@@ -30,6 +30,9 @@
         Seconds after a reduction before the limit grows.
     increase_s : float
         Shortest time in seconds between two growths by one slot.
+    regrow_s : float
+        The same after a reduction, while ordinary requests are measured. Growing fast back into
+        the limit that was too high would make ordinary requests slow again and again.
     min_samples : int
         Requests without rollouts that make up a baseline.
     baseline_samples, baseline_ttl_s
@@ -38,11 +41,12 @@
 
     slow_ratio: float = 1.3
     calm_ratio: float = 1.15
-    decrease: float = 0.5
-    window_s: float = 30.0
-    hold_s: float = 5.0
-    recover_s: float = 10.0
+    decrease: float = 0.8
+    window_s: float = 20.0
+    hold_s: float = 3.0
+    recover_s: float = 20.0
     increase_s: float = 1.0
+    regrow_s: float = 8.0
     min_samples: int = 20
     baseline_samples: int = 512
     baseline_ttl_s: float = 900.0
@@ -129,7 +133,10 @@
 
     def grow(self, now):
         """Add one slot, also after a long pause, in which nothing was measured."""
-        if now - self.grown_at < self.steering.increase_s - ROUNDING:
+        interval_s = self.steering.increase_s
+        if self.recent and self.reduced_at > -math.inf:
+            interval_s = self.steering.regrow_s
+        if now - self.grown_at < interval_s - ROUNDING:
             return
         self.limit = min(self.slots, self.limit + 1)
         self.grown_at = now
--- a/turmericreach/lots/__init__.py
+++ b/turmericreach/lots/__init__.py
@@ -29,7 +29,6 @@
     lot_digest,
     lot_objects,
 )
-from turmericreach.lots.state import SchedulingPolicy
 
 __all__ = [
     "Action",
@@ -48,7 +47,6 @@
     "RolloutResult",
     "Sample",
     "SampleTask",
-    "SchedulingPolicy",
     "Score",
     "SpeedModel",
     "VersionClock",
--- a/turmericreach/lots/coordinator.py
+++ b/turmericreach/lots/coordinator.py
@@ -30,7 +30,6 @@
         Shared by the lots of a process, so that a new lot knows the lengths of its kind.
     speeds : SpeedModel, optional
         Shared like `lengths`.
-    scheduling : SchedulingPolicy, optional
     retry_unknown_scores : bool
         Whether the scoring service allows a call to be repeated that may have run.
     max_buffered_bytes : int
@@ -46,12 +45,11 @@
         *,
         lengths=None,
         speeds=None,
-        scheduling=None,
         retry_unknown_scores=False,
         max_buffered_bytes=MAX_BUFFERED_BYTES,
     ):
         self.spec = spec
-        self.state = LotState(spec, policy, cursor, rng, lengths, speeds, scheduling)
+        self.state = LotState(spec, policy, cursor, rng, lengths, speeds)
         self.retry_unknown_scores = retry_unknown_scores
         self.max_buffered_bytes = max_buffered_bytes
 
--- a/turmericreach/lots/scheduling.py
+++ b/turmericreach/lots/scheduling.py
@@ -13,8 +13,6 @@
 PROBE_TASKS = 2
 # A copy must be clearly faster, since every copy throws the tokens of one rollout away.
 COPY_GAIN = 0.8
-# Expected lengths are uncertain, so a rollout waits only for a clearly faster engine.
-TAIL_FACTOR = 1.5
 # Forecasts of new versions vary, so a running rollout is given up only one version later.
 FORECAST_MARGIN_VERSIONS = 1
 
@@ -28,8 +26,6 @@
     slots: int
     engines: list
     free: dict
-    drain_s: float | None = None
-    fastest: float = 0.0
     tasks: list = attrs.field(factory=list)
 
     def fits(self, engine, tokens):
@@ -39,16 +35,6 @@
         ends_at = self.state.clock.forecast(self.now, duration)
         return ends_at - engine.version <= spec.staleness_bound
 
-    def prolongs(self, engine, tokens):
-        """Return whether a rollout would end later here than if it waits for a faster engine.
-
-        Near the end of a lot, a long rollout on a slow engine lasts longer than everything else.
-        """
-        if self.drain_s is None:
-            return False
-        shortest_s = tokens / self.fastest
-        return tokens / self.speed(engine) > max(self.drain_s, 0.0) + TAIL_FACTOR * shortest_s
-
     def speed(self, engine):
         """Return the single-stream speed of an engine."""
         return self.state.speeds.speed(engine.target)
@@ -59,8 +45,6 @@
         for engine in self.engines:
             if self.free[engine.target] <= 0 or not self.fits(engine, tokens):
                 continue
-            if self.prolongs(engine, tokens):
-                continue
             if engine.target == home:
                 return engine
             if best is None or self.speed(engine) > self.speed(best):
@@ -131,9 +115,6 @@
     if state.failure_streak >= STORM_FAILURES:
         slots = min(slots, PROBE_TASKS - len(state.tasks))
     plan = Plan(state, now, slots, view.engines, free)
-    if state.scheduling.waits_for_fast_engines:
-        plan.drain_s = drain_s(state, now, view.engines)
-        plan.fastest = max((plan.speed(engine) for engine in view.engines), default=0.0)
     may_begin = state.buffered_bytes <= max_buffered_bytes
     waiting = 0
     for group in ranked_groups(state):
@@ -150,36 +131,29 @@
     return plan.tasks
 
 
-def drain_s(state, now, engines):
-    """Return the expected seconds until the lot's work is done if all engines share it.
-
-    The speed that the lot gets is taken from its rollouts in flight.
-    """
-    tokens = sum(
-        len(ordinals) * expected_tokens(state, state.spec.ordinal(group, 0))
-        for group, ordinals in state.queue.items()
-        if ordinals
-    )
-    speed = sum(state.speeds.speed(task.target) for task in state.tasks.values())
-    speed = speed or sum(state.speeds.speed(engine.target) for engine in engines)
-    return tokens / speed if speed else 0.0
-
-
 def ranked_groups(state):
-    """Return the groups with queued samples in the order of starting.
+    """Yield the groups with queued samples in the order of starting.
 
     Begun groups come first, so that groups finish. Then long groups count by the weight of idle
-    time, and groups with old finished samples by the weight of staleness.
+    time, and groups with old finished samples by the weight of staleness. The others are ranked
+    only when slots are left for them, since a large lot has many.
     """
+    begun = [group for group in state.begun if state.queue.get(group)]
+    yield from rank(state, begun)
+    others = state.queue.keys() - state.begun
+    yield from rank(state, [group for group in others if state.queue[group]])
+
+
+def rank(state, groups):
+    """Return groups in the order of their weighted length and age."""
     spec = state.spec
     weight = state.policy.weighting
     ranks = []
-    for group in [group for group, ordinals in state.queue.items() if ordinals]:
+    for group in groups:
         length = expected_tokens(state, spec.ordinal(group, 0)) / spec.max_tokens
         age = group_age(state, group) / (spec.staleness_bound + 1)
-        begun = group in state.begun
-        ranks.append((not begun, -((1.0 - weight) * length + weight * age), group))
-    return [group for _, _, group in sorted(ranks)]
+        ranks.append((-((1.0 - weight) * length + weight * age), group))
+    return [group for _, group in sorted(ranks)]
 
 
 def group_age(state, group):
--- a/turmericreach/lots/state.py
+++ b/turmericreach/lots/state.py
@@ -10,26 +10,13 @@
 from turmericreach.lots.estimates import OVERRUN_FACTOR, LengthModel, SpeedModel, VersionClock
 from turmericreach.lots.samples import Cancel, Regenerate, Sample
 
-__all__ = ["LotState", "Phase", "Record", "SchedulingPolicy", "Task"]
+__all__ = ["LotState", "Phase", "Record", "Task"]
 
 FIRST_BACKOFF_S = 0.25
 LONGEST_BACKOFF_S = 30.0
 BACKOFF_DOUBLINGS = 8
 
 
-@attrs.frozen
-class SchedulingPolicy:
-    """Rules of the choice of rollouts.
-
-    Attributes
-    ----------
-    waits_for_fast_engines : bool
-        Whether rollouts near the end of a lot wait for a fast engine.
-    """
-
-    waits_for_fast_engines: bool = True
-
-
 class Phase(enum.StrEnum):
     """How far the current candidate of a sample has come."""
 
@@ -108,7 +95,7 @@
         Queued ordinals by group.
     """
 
-    def __init__(self, spec, policy, cursor, rng, lengths=None, speeds=None, scheduling=None):
+    def __init__(self, spec, policy, cursor, rng, lengths=None, speeds=None):
         self.spec = spec
         self.policy = policy
         self.rng = rng
@@ -118,7 +105,6 @@
         self.clock = VersionClock()
         self.lengths = lengths or LengthModel()
         self.speeds = speeds or SpeedModel()
-        self.scheduling = scheduling or SchedulingPolicy()
         self.records = [Record(ordinal) for ordinal in range(spec.size)]
         self.prefixes = [xxhash.xxh3_64_hexdigest(group.prompt.encode()) for group in spec.groups]
         self.queue = collections.defaultdict(set)
--- a/turmericreach/routing/table.py
+++ b/turmericreach/routing/table.py
@@ -159,15 +159,17 @@
         return Choice(chosen.name, f"{reason}, expected in {chosen.completion_s:.3f} s")
 
     def preferred(self, request, now):
-        """Choose the target that the request prefers, if it has a free slot."""
+        """Choose the target that the request prefers, if it may be chosen."""
         record = self.records.get(request.prefer)
         if record is None or record.spec.service != request.service:
             return None
-        if not self.eligible(request.prefer, request, now) or record.load_view() >= record.slots:
+        if not self.eligible(request.prefer, request, now):
+            return None
+        if record.load_view() >= record.slots and not self.policy.queues_at_preferred:
             return None
         if request.prefix:
             self.prefixes.remember(request.prefix, request.prefer, now)
-        return Choice(request.prefer, "preferred and free")
+        return Choice(request.prefer, "preferred")
 
     def sample(self, request, now):
         """Draw candidates from each tier."""
--- a/turmericreach/rpc/inner.capnp
+++ b/turmericreach/rpc/inner.capnp
@@ -35,6 +35,8 @@
   lot @12 :Text;
   minVersion @13 :Int64;
   trainer @14 :Text;
+  # Charged to the trainer when a rollout starts; 0 for requests without an estimate.
+  expectedTokens @15 :UInt32;
 }
 
 struct Outcome {
--- a/turmericreach/rpc/messages.py
+++ b/turmericreach/rpc/messages.py
@@ -52,6 +52,8 @@
         Deadline on the monotonic clock of the agent, in milliseconds.
     min_version : int
         Lowest weight version that may serve the attempt, 0 for any.
+    expected_tokens : int
+        Estimate that is charged to the trainer when the attempt starts, 0 if there is none.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     lot: str = ""
     trainer: str = ""
     min_version: int = 0
+    expected_tokens: int = 0
 
 
 def fill_headers(builder, headers):
@@ -100,6 +103,7 @@
     builder.lot = attempt.lot
     builder.trainer = attempt.trainer
     builder.minVersion = attempt.min_version
+    builder.expectedTokens = attempt.expected_tokens
 
 
 def read_attempt(reader):
@@ -120,6 +124,7 @@
         lot=reader.lot,
         trainer=reader.trainer,
         min_version=reader.minVersion,
+        expected_tokens=reader.expectedTokens,
     )
 
 
