--- a/tests/limits/test_window.py
+++ b/tests/limits/test_window.py
@@ -101,3 +101,9 @@
     limits = run(window, 2, 60, lambda _: 0.1)
     assert limits[-1] <= 8 + 60 // 8
     assert limits[-1] > 8
+
+
+def test_a_large_engine_fills_within_a_minute():
+    """Guards against engines of many slots that stay idle for minutes after a start."""
+    window = RolloutWindow(256, FLOOR)
+    assert [window.update(float(now)) for now in range(1, 60)][-1] == 256
--- a/turmericreach/limits/window.py
+++ b/turmericreach/limits/window.py
@@ -8,6 +8,8 @@
 __all__ = ["RolloutWindow", "WindowPolicy"]
 
 ROUNDING = 1e-9
+# A large engine grows by several slots at once, or it would take minutes to fill.
+SLOTS_PER_STEP = 32
 
 
 @attrs.frozen
@@ -29,7 +31,7 @@
     recover_s : float
         Seconds after a reduction before the limit grows.
     increase_s : float
-        Shortest time in seconds between two growths by one slot.
+        Shortest time in seconds between two growths.
     regrow_s : float
         The same after a reduction, while ordinary requests are measured. Growing fast back into
         the limit that was too high would make ordinary requests slow again and again.
@@ -132,13 +134,13 @@
         self.recent.clear()
 
     def grow(self, now):
-        """Add one slot, also after a long pause, in which nothing was measured."""
+        """Add a step, also after a long pause, in which nothing was measured."""
         interval_s = self.steering.increase_s
         if self.recent and self.reduced_at > -math.inf:
             interval_s = self.steering.regrow_s
         if now - self.grown_at < interval_s - ROUNDING:
             return
-        self.limit = min(self.slots, self.limit + 1)
+        self.limit = min(self.slots, self.limit + max(1, self.slots // SLOTS_PER_STEP))
         self.grown_at = now
 
     def exceeds(self, ratio, baseline_s):
--- a/turmericreach/routing/model.py
+++ b/turmericreach/routing/model.py
@@ -121,6 +121,9 @@
     lot_queue_factor : float
         Rollouts that a lot may always have in flight, as a multiple of its share of the slots.
         Above 1, the agents always have a waiting rollout of each trainer to choose from.
+    max_waiting : int
+        Rollouts that the lots together may have waiting at one target, however many slots it has.
+        Agents refuse what exceeds their queue, and each refusal costs a call.
     spread_by_speed : bool
         Whether these are divided among the engines by speed rather than evenly.
     queues_at_preferred : bool
@@ -143,6 +146,7 @@
     max_backoff_s: float = 5.0
     queue_ahead_share: float = 0.25
     lot_queue_factor: float = 3.0
+    max_waiting: int = 16
     spread_by_speed: bool = True
     queues_at_preferred: bool = True
     breaker_threshold: int = 5
--- a/turmericreach/routing/rollouts.py
+++ b/turmericreach/routing/rollouts.py
@@ -48,11 +48,12 @@
         if record.spec.service != service or record.state is not TargetState.LIVE:
             continue
         total_slots += record.slots
-        ahead = max(1, int(record.slots * policy.queue_ahead_share))
+        ahead = max(1, int(min(record.slots * policy.queue_ahead_share, policy.max_waiting)))
         free = max(0, record.slots + ahead - record.load_view())
         speed = record.speed or record.spec.speed
         rooms.append(RolloutRoom(record.spec.name, record.version, free, speed))
-    owed = math.ceil(total_slots * share * policy.lot_queue_factor) - outstanding
+    waiting = min(total_slots * (policy.lot_queue_factor - 1), policy.max_waiting * len(rooms))
+    owed = math.ceil((total_slots + waiting) * share) - outstanding
     if sum(room.free for room in rooms) >= owed:
         return rooms
     return spread(rooms, owed, policy.spread_by_speed)
