Report loads in the policy benchmark as rarely as the daemons do

Cause: the model reported loads every second; the member table reports a change of the load alone at most every 10 s, and gateways take a report over only when it is new. Change: the same in the model of a target.

--- a/benchmarks/policy/target.py
+++ b/benchmarks/policy/target.py
@@ -29,6 +29,7 @@
 
 __all__ = ["Attempt", "FcfsAdmission", "TargetModel"]
 
+LOAD_INTERVAL_S = 10.0
 NOON = datetime.datetime(2026, 3, 2, 12, tzinfo=datetime.UTC)
 STEER_S = 1.0
 CONVERGE_S = 0.25
@@ -121,6 +122,9 @@
         self.reachable = True
         self.swap_fails_until = 0.0
         self.ordering = False
+        self.load_reported_at = float("-inf")
+        self.reported_load = (0, 0)
+        self.last_report = None
         self.tick()
 
     def tick(self):
@@ -135,7 +139,10 @@
                 self.begin_all(self.admission.set_rollout_limit(self.window.update(now), now))
             for ticket_id in self.admission.expire(now):
                 self.give_up(ticket_id, ErrorCode.DEADLINE_EXCEEDED)
-        self.clock.after(self.world.report_lag_s, self.world.deliver, self.report())
+        report = self.report()
+        if report != self.last_report:
+            self.last_report = report
+            self.clock.after(self.world.report_lag_s, self.world.deliver, report)
         self.clock.after(STEER_S, self.tick)
 
     def loads(self):
@@ -147,12 +154,14 @@
 
     def report(self):
         """Return the load report; the gateway dates it with its arrival, as the daemon does."""
-        running, waiting = self.loads()
         state = "live" if self.reachable else "suspect"
         version = self.engine.version if self.is_model else 0
-        return LoadReport(
-            self.spec.name, state, version, running, waiting, self.spec.slots, self.clock.now
-        )
+        # The member table reports a change of the load alone at most this often.
+        if self.clock.now - self.load_reported_at >= LOAD_INTERVAL_S:
+            self.load_reported_at = self.clock.now
+            self.reported_load = self.loads()
+        running, waiting = self.reported_load
+        return LoadReport(self.spec.name, state, version, running, waiting, self.spec.slots, 0.0)
 
     # Attempts
 
