--- a/benchmarks/capacity/relay.py
+++ b/benchmarks/capacity/relay.py
@@ -18,7 +18,7 @@
 )
 from turmericreach.rpc import Hello, PeerClient, PeerServer
 
-__all__ = ["measure_relay"]
+__all__ = ["measure_call", "measure_relay"]
 
 IP = "127.0.0.1"
 TARGETS = 4
@@ -29,6 +29,8 @@
 CALL_TIMEOUT_S = 5.0
 WARM_UP_S = 3.0
 MEASURE_S = 8.0
+ECHO = "echo"
+ECHO_BYTES = 200
 
 
 def make_record(name, role="agent"):
@@ -58,7 +60,9 @@
         return identity("relay")
 
     async def control(self, kind, body):
-        """Answer a report."""
+        """Answer a report, or send a body back."""
+        if kind == ECHO:
+            return body
         return encode(self.table.on_report(decode(body, Report), self.loop.time()))
 
 
@@ -173,6 +177,39 @@
         await process.wait()
 
 
+async def measure_calls(rate, port):
+    """Call a process at a rate and return the CPU of both sides."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "benchmarks.capacity.relay", str(port)
+    )
+    try:
+        async with capnp.kj_loop():
+            client = await connect(port, "caller")
+            own = psutil.Process().pid
+            before = cpu_s(process.pid), cpu_s(own)
+            began = time.perf_counter()
+            calls = 0
+            while time.perf_counter() - began < MEASURE_S:
+                await client.control(ECHO, b"x" * ECHO_BYTES, CALL_TIMEOUT_S)
+                calls += 1
+                await asyncio.sleep(max(0.0, began + calls / rate - time.perf_counter()))
+            figures = {
+                "calls_per_s": calls / MEASURE_S,
+                "caller_us_a_call": 1e6 * (cpu_s(own) - before[1]) / calls,
+                "callee_us_a_call": 1e6 * (cpu_s(process.pid) - before[0]) / calls,
+            }
+            client.close()
+            return figures
+    finally:
+        process.terminate()
+        await process.wait()
+
+
+def measure_call(rate, port):
+    """Return the cost of one control call, of both sides, at a rate of calls."""
+    return asyncio.run(measure_calls(rate, port))
+
+
 def measure_relay(daemons, port):
     """Return the cost of a relay with a number of daemons that report to it."""
     return asyncio.run(measure(daemons, port))
--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -1,6 +1,6 @@
 """All slopes of the capacity benchmark."""
 
-from benchmarks.capacity.relay import measure_relay
+from benchmarks.capacity.relay import measure_call, measure_relay
 from benchmarks.capacity.tables import (
     measure_configuration,
     measure_lot,
@@ -14,16 +14,22 @@
 DAEMONS = [10, 20, 40, 57]
 TARGETS = [12, 120, 1200]
 SAMPLES = [1024, 4096, 8192]
+CALL_RATES = [20, 100, 400]
 CONCURRENCY = [4, 16, 32, 40, 64, 128, 300]
 WORKERS = 1200
 
 
 def measure_capacity():
     """Run the slopes one after the other and return a list of rows for each."""
-    ports = free_ports(len(DAEMONS))
+    ports = free_ports(len(DAEMONS) + len(CALL_RATES))
     return {
         "relay": [
-            measure_relay(daemons, port) for daemons, port in zip(DAEMONS, ports, strict=True)
+            measure_relay(daemons, port)
+            for daemons, port in zip(DAEMONS, ports[: len(DAEMONS)], strict=True)
+        ],
+        "call": [
+            measure_call(rate, port)
+            for rate, port in zip(CALL_RATES, ports[len(DAEMONS) :], strict=True)
         ],
         "routing": [measure_routing(targets) for targets in TARGETS],
         "lot": [measure_lot(samples) for samples in SAMPLES],
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -3,6 +3,7 @@
 import random
 import time
 import tracemalloc
+import zlib
 
 from turmericreach.lots import (
     Cursor,
@@ -141,6 +142,7 @@
     return {
         "targets": targets,
         "manifest_kb": len(data) / 1e3,
+        "compressed_kb": len(zlib.compress(data, 1)) / 1e3,
         "decode_ms": 1e3 * decode_s,
         "configure_ms": 1e3 * configure_s,
     }
