--- a/turmericreach/daemon/agent.py
+++ b/turmericreach/daemon/agent.py
@@ -78,8 +78,7 @@
             log_event(events.INTERNAL_ERROR, error=type(error).__name__, where="attempt")
             outcome = self.after_fault(entry, error)
         self.report(attempt, outcome)
-        running, _ = target.in_flight()
-        return with_load(outcome, running)
+        return with_load(outcome, sum(target.in_flight()))
 
     def after_fault(self, entry: AttemptEntry, error: Exception) -> Outcome:
         """Bring the entry of an attempt whose execution failed here to a final state."""
@@ -171,6 +170,6 @@
         return len(pending)
 
 
-def with_load(outcome: Outcome, running: int) -> Outcome:
+def with_load(outcome: Outcome, load: int) -> Outcome:
     """Return the outcome with the target's load, which is fresher than any report."""
-    return attrs.evolve(outcome, load=running)
+    return attrs.evolve(outcome, load=load)
--- a/turmericreach/lots/scheduling.py
+++ b/turmericreach/lots/scheduling.py
@@ -132,20 +132,28 @@
 
 
 def ranked_groups(state):
-    """Return the groups with queued samples in the order of starting.
+    """Yield the groups with queued samples in the order of starting.
 
     Begun groups come first, so that groups finish. Then long groups count by the weight of idle
-    time, and groups with old finished samples by the weight of staleness.
+    time, and groups with old finished samples by the weight of staleness. The others are ranked
+    only when slots are left for them, since a large lot has many.
     """
+    begun = [group for group in state.begun if state.queue.get(group)]
+    yield from rank(state, begun)
+    others = state.queue.keys() - state.begun
+    yield from rank(state, [group for group in others if state.queue[group]])
+
+
+def rank(state, groups):
+    """Return groups in the order of their weighted length and age."""
     spec = state.spec
     weight = state.policy.weighting
     ranks = []
-    for group in [group for group, ordinals in state.queue.items() if ordinals]:
+    for group in groups:
         length = expected_tokens(state, spec.ordinal(group, 0)) / spec.max_tokens
         age = group_age(state, group) / (spec.staleness_bound + 1)
-        begun = group in state.begun
-        ranks.append((not begun, -((1.0 - weight) * length + weight * age), group))
-    return [group for _, _, group in sorted(ranks)]
+        ranks.append((-((1.0 - weight) * length + weight * age), group))
+    return [group for _, group in sorted(ranks)]
 
 
 def group_age(state, group):
--- a/turmericreach/routing/model.py
+++ b/turmericreach/routing/model.py
@@ -115,6 +115,20 @@
         Age, and number at each target, up to which a cached prefix is assumed to exist.
     max_backoff_s : float
         Longest time that a refusal for overload keeps a class away from a target.
+    queue_ahead_share : float
+        Rollouts that may wait at a target, as a share of its slots, so that a slot that becomes
+        free is taken without a round trip and the agent can divide slots among trainers.
+    lot_queue_factor : float
+        Rollouts that a lot may always have in flight, as a multiple of its share of the slots.
+        Above 1, the agents always have a waiting rollout of each trainer to choose from.
+    max_waiting : int
+        Rollouts that the lots together may have waiting at one target, however many slots it has.
+        Agents refuse what exceeds their queue, and each refusal costs a call.
+    spread_by_speed : bool
+        Whether these are divided among the engines by speed rather than evenly.
+    queues_at_preferred : bool
+        Whether a rollout goes to the engine that its lot chose even if it has to wait there.
+        Otherwise the waiting rollouts that were planned for slow engines pile up at fast ones.
     """
 
     samples_per_tier: int = 2
@@ -124,12 +138,17 @@
     default_latency_s: float = 0.05
     ewma_weight: float = 0.2
     batch_slowdown: float = 0.5
-    waiting_weight: float = 0.25
+    waiting_weight: float = 0.0
     prefill_speedup: float = 20.0
     default_prefix_tokens: int = 256
     prefix_ttl_s: float = 120.0
     prefix_entries: int = 256
     max_backoff_s: float = 5.0
+    queue_ahead_share: float = 0.25
+    lot_queue_factor: float = 3.0
+    max_waiting: int = 16
+    spread_by_speed: bool = True
+    queues_at_preferred: bool = True
     breaker_threshold: int = 5
     breaker_open_s: float = 1.0
     breaker_max_open_s: float = 30.0
