Time attempts from their arrival

Change: the metric attempt_time counts the wait for a slot as well, like the window that steers rollouts.

--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -221,7 +221,7 @@
         tokens = sum(segment.tokens for segment in outcome.segments)
         if tokens:
             self.sink.count(metrics.TOKENS, tokens, target=self.spec.name)
-        self.sink.timing(metrics.ATTEMPT_TIME, now - started, target=self.spec.name)
+        self.sink.timing(metrics.ATTEMPT_TIME, now - arrived, target=self.spec.name)
         self.wake(self.admission.release(attempt.attempt_id, now, tokens or None))
         if entry.outcome is None:
             self.table.finish(entry, outcome, answer_kept=not streamed)
