Keep late chunks of a given-up attempt out of the answer; count abandoned requests

Cause: all attempts of a request wrote into one stream, so an agent that was paused and resumed could add chunks to the answer of the next attempt while its connection was kept open by other calls. A gateway always reported that its stop abandoned no request. Ruled out: closing the connection at once, which cuts off other calls on it. Change: each attempt writes through a gate that closes when the attempt is given up; the HTTP server returns the number of requests that it cancelled.

--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -9,7 +9,7 @@
 from turmericreach.attempts.ids import new_attempt_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.sent import SentAttempt
-from turmericreach.attempts.stream import CallerStream
+from turmericreach.attempts.stream import AttemptChunks, CallerStream
 from turmericreach.routing import (
     Choice,
     ChoiceRequest,
@@ -270,7 +270,8 @@
     async def submit(self, client: PeerClient, attempt: Attempt, request, stream) -> Outcome:
         """Submit an attempt; an idempotent one is given up when its agent becomes suspect."""
         timeout_s = max(0.0, request.deadline - self.now()) + ANSWER_GRACE_S
-        call = asyncio.ensure_future(client.submit(attempt, timeout_s, stream))
+        chunks = None if stream is None else AttemptChunks(stream)
+        call = asyncio.ensure_future(client.submit(attempt, timeout_s, chunks))
         try:
             while True:
                 done, _ = await asyncio.wait([call], timeout=SUSPECT_CHECK_S)
@@ -282,6 +283,8 @@
                     raise PeerTimeout(f"agent of {attempt.target} is not heard from")
         finally:
             call.cancel()
+            if chunks is not None:
+                chunks.active = False
 
     def cancel_in_background(self, client: PeerClient, attempt_id: str) -> None:
         """Tell the agent that the result is no longer needed."""
--- a/turmericreach/attempts/stream.py
+++ b/turmericreach/attempts/stream.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-__all__ = ["CallerStream"]
+__all__ = ["AttemptChunks", "CallerStream"]
 
 # Chunks that wait for a slow caller; the agent stops sending when its window is full as well.
 MAX_WAITING_CHUNKS = 8
@@ -60,3 +60,29 @@
             await self.readable.wait()
         self.writable.set()
         return self.chunks.popleft()
+
+
+class AttemptChunks:
+    """Passes the chunks of one attempt on until that attempt is given up.
+
+    An agent that was paused may go on sending after another attempt of the request has begun.
+
+    Attributes
+    ----------
+    active : bool
+        Whether chunks are passed on.
+    """
+
+    def __init__(self, stream: CallerStream):
+        self.stream = stream
+        self.active = True
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Pass the status line and headers on."""
+        if self.active:
+            await self.stream.begin(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Pass one chunk on."""
+        if self.active:
+            await self.stream.write(data)
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -130,7 +130,7 @@
         self.fleet.report_now.set()
         await asyncio.sleep(LEAVE_DELAY_S)
         await self.lots.leave()
-        await self.http.stop()
+        abandoned = await self.http.stop()
         await self.audit.drain(AUDIT_DRAIN_S, self.copies.send)
         self.node.members.set_own(self.node.now(), state="stopped")
         self.fleet.report_now.set()
@@ -141,7 +141,7 @@
         await self.fleet.stop()
         await self.rpc.stop()
         await self.node.close()
-        return 0
+        return abandoned
 
     def in_flight(self) -> int:
         """Return the number of open caller connections."""
--- a/turmericreach/daemon/node.py
+++ b/turmericreach/daemon/node.py
@@ -3,8 +3,6 @@
 import asyncio
 import time
 
-import attrs
-
 from turmericreach.attempts import new_incarnation
 from turmericreach.config import ConfigState
 from turmericreach.daemon.observed_store import ObservedStore
@@ -146,12 +144,3 @@
         self.peers.close()
         await self.store.close()
         self.metrics.close()
-
-
-@attrs.frozen
-class Address:
-    """A peer address with the name and data centre that are known of it."""
-
-    address: str
-    name: str = ""
-    data_centre: str = ""
--- a/turmericreach/httpserver/server.py
+++ b/turmericreach/httpserver/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import ssl as ssl_module
 
@@ -90,7 +91,7 @@
             log_config=None,
             server_header=False,
             date_header=False,
-            timeout_graceful_shutdown=max(1, int(self.stop_timeout_s)),
+            timeout_graceful_shutdown=math.ceil(self.stop_timeout_s) + 1,
             **options,
         )
         self.server = QuietServer(config)
@@ -101,9 +102,18 @@
         if self.task.done():
             self.task.result()
 
-    async def stop(self) -> None:
-        """Stop accepting, wait for requests in flight, close."""
+    async def stop(self) -> int:
+        """Stop accepting, wait for requests in flight, close.
+
+        Returns
+        -------
+        int
+            Requests that had not ended after `stop_timeout_s` and were cancelled.
+        """
         if self.server is None:
-            return
+            return 0
         self.server.should_exit = True
+        _, pending = await asyncio.wait([self.task], timeout=self.stop_timeout_s)
+        abandoned = len(self.server.server_state.tasks) if pending else 0
         await self.task
+        return abandoned
