Trace why a target was chosen

Cause: explain showed outcomes, refusals and retries, but not the reason of a choice. Change: the runner records each choice with the router's reason. Result: the new test failed without the record and passes with it.

--- a/tests/attempts/test_runner.py
+++ b/tests/attempts/test_runner.py
@@ -163,3 +163,12 @@
     outcome = await runner.run(make_request(key="k", request_id="r2", deadline=now() + 5.0))
     assert outcome.verdict is MAY
     assert [code for _, _, code in network.ended] == [ErrorCode.CANCELLED]
+
+
+async def test_the_trace_tells_why_a_target_was_chosen_before_it_tells_the_outcome():
+    """Guards against an `explain` that shows outcomes without the choices that led to them."""
+    network = FakeNetwork(FakeAgent())
+    seen = []
+    network.on_decision = lambda request_id, attempt_id, what, evidence: seen.append(what)
+    await make_runner(network).run(make_request())
+    assert [text.split(" ")[0] for text in seen] == ["chose", "t1:"]
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -217,6 +217,9 @@
         attempt_id = new_attempt_id()
         started = self.now()
         self.router.on_sent(choice.target, attempt_id, request.priority, started)
+        self.observer.on_decision(
+            request.request_id, attempt_id, f"chose {choice.target}", choice.reason
+        )
         outcome = Outcome(
             Verdict.MAY_HAVE_RUN, code=ErrorCode.CANCELLED, evidence="gateway: caller left"
         )
