Answer keyed requests at a starting gateway as may have run

Cause: a gateway without a configuration answered every request NOT_RUN, also one whose key an earlier submission through another gateway may have run. Change: with an Idempotency-Key, that refusal has the verdict MAY_HAVE_RUN. Result: the new test failed for the keyed request before and passes now.

--- a/turmericreach/daemon/gateway_app.py
+++ b/turmericreach/daemon/gateway_app.py
@@ -8,7 +8,7 @@
 from blacksheep.exceptions import MessageAborted
 from blacksheep.server.routing import Router
 
-from turmericreach.api import AnnounceRequest, DrainRequest, PullRequest
+from turmericreach.api import IDEMPOTENCY_KEY_HEADER, AnnounceRequest, DrainRequest, PullRequest
 from turmericreach.daemon.lot_calls import LotCall, LotOperation
 from turmericreach.daemon.lot_service import MAX_PULL_WAIT_S, decode_body
 from turmericreach.daemon.request_paths import request_id_of
@@ -148,13 +148,22 @@
             log_event(events.TOKEN_REFUSED, reason=error.message)
             raise
 
-    def require_ready(self) -> None:
+    def require_ready(self, verdict: Verdict = Verdict.NOT_RUN) -> None:
         """Refuse requests until a configuration is in force."""
         if self.gateway.node.manifest is None or not self.gateway.ready():
             raise RequestError(
-                ErrorCode.NOT_READY, "no configuration is in force yet", 503, retry_after_s=1.0
+                ErrorCode.NOT_READY, "no configuration is in force yet", 503, verdict, 1.0
             )
 
+    def unclaimed_verdict(self, request: Request) -> Verdict:
+        """Return the verdict of a request that is refused before its key is claimed.
+
+        Another gateway may have run an earlier submission with the same key.
+        """
+        if request.has_header(IDEMPOTENCY_KEY_HEADER.lower().encode()):
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
+
     async def body(self, request: Request, max_bytes: int) -> bytes:
         """Read a body within the limits."""
         return await read_body(
@@ -297,7 +306,7 @@
     async def ordinary(self, request: Request) -> Response:
         """Run an ordinary request."""
         self.authorize(request, TokenRole.CALLER)
-        self.require_ready()
+        self.require_ready(self.unclaimed_verdict(request))
         service = route_value(request, "service")
         return await self.gateway.ordinary.handle(request, service, not self.gateway.tokens.entries)
 
