Use the usual terms: endpoint, registry, retry time-out

Cause: some names were figurative (door, keeper, patience, look). Change: HTTP endpoint, ClaimRegistry, RETRY_TIMEOUT_S and check; the tests' folder and builder follow.

--- a/tests/attempts/machine.py
+++ b/tests/attempts/machine.py
@@ -9,7 +9,7 @@
 
 from tests.builders.attempts import FakeAgent, FakeNetwork, make_request
 from tests.builders.objectstore import MemoryObjectStore
-from turmericreach.attempts import ClaimKeeper, RequestRunner
+from turmericreach.attempts import ClaimRegistry, RequestRunner
 from turmericreach.routing import RetryBudget
 from turmericreach.verdicts import Verdict
 
@@ -26,7 +26,7 @@
 
     def __init__(self, agents, store):
         super().__init__(*agents)
-        self.claims = ClaimKeeper(store, self, lambda: 0.0)
+        self.claims = ClaimRegistry(store, self, lambda: 0.0)
         self.runner = RequestRunner(self, self, self, RetryBudget(now=0.0))
         self.alive = True
 
--- a/tests/attempts/test_runner.py
+++ b/tests/attempts/test_runner.py
@@ -6,7 +6,7 @@
 
 from tests.builders.attempts import FakeAgent, FakeNetwork, make_request
 from tests.builders.objectstore import MemoryObjectStore
-from turmericreach.attempts import ClaimKeeper, RequestRunner
+from turmericreach.attempts import ClaimRegistry, RequestRunner
 from turmericreach.routing import RetryBudget, TargetState
 from turmericreach.verdicts import ErrorCode, Verdict
 
@@ -25,7 +25,7 @@
 
 def with_claims(network):
     network.store = MemoryObjectStore()
-    network.claims = ClaimKeeper(network.store, network, lambda: 0.0)
+    network.claims = ClaimRegistry(network.store, network, lambda: 0.0)
     return network
 
 
--- a/tests/builders/doors.py
+++ b/tests/builders/endpoints.py
@@ -1,4 +1,4 @@
-"""A gateway's HTTP door on a real socket, with small fakes behind it."""
+"""A gateway's HTTP endpoint on a real socket, with small fakes behind it."""
 
 import asyncio
 import contextlib
@@ -57,7 +57,7 @@
     raise LookupError("a fault in a handler")
 
 
-class DoorGateway:
+class EndpointGateway:
     """What the routes use of a `GatewayDaemon`."""
 
     announce = GatewayDaemon.announce
@@ -118,8 +118,8 @@
         return [subject]
 
 
-class Door:
-    """A running door; `gateway` holds the fakes behind it."""
+class Endpoint:
+    """A running endpoint; `gateway` holds the fakes behind it."""
 
     def __init__(self, gateway, server, port):
         self.gateway = gateway
@@ -142,7 +142,7 @@
 
     async def request(self, method, path, body=b"", headers=(), timeout_s=5.0):
         """Send one request; return status, headers and body."""
-        lines = [f"{method} {path} HTTP/1.1", "Host: door", "Connection: close", *headers]
+        lines = [f"{method} {path} HTTP/1.1", "Host: endpoint", "Connection: close", *headers]
         if body or method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(body)}")
         raw = await self.exchange("\r\n".join(lines).encode() + b"\r\n\r\n" + body, timeout_s)
@@ -170,17 +170,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_door(target_url="http://127.0.0.1:9", limits=LIMITS):
-    """Run a door whose ordinary requests go to a target."""
+async def open_endpoint(target_url="http://127.0.0.1:9", limits=LIMITS):
+    """Run a endpoint whose ordinary requests go to a target."""
     async with open_session() as session, open_session(reuse=False) as fresh:
-        gateway = DoorGateway(limits)
+        gateway = EndpointGateway(limits)
         gateway.runner.service = HttpService(target_url, session, fresh)
         listener = bind_socket("127.0.0.1", 0)
         port = listener.getsockname()[1]
         server = HttpServer(CancelOnDisconnect(build_app(gateway)), listener, limits, 1.0)
         await server.start()
         try:
-            yield Door(gateway, server, port)
+            yield Endpoint(gateway, server, port)
         finally:
             await server.stop()
             for runner in gateway.lots.runners.values():
--- a/tests/client/test_trainer.py
+++ b/tests/client/test_trainer.py
@@ -158,7 +158,7 @@
         gateway.script["x"] = [error(503, "not_ready", retry_after_s=1e9)]
         started = time.monotonic()
         with pytest.raises(ApiError):
-            await connection.call_repeatedly("GET", "/x", patience_s=2.0)
+            await connection.call_repeatedly("GET", "/x", retry_timeout_s=2.0)
         assert time.monotonic() - started < 1.0
 
 
@@ -193,7 +193,7 @@
     """Guards against a loop without an end, and without pauses, of declarations and pulls."""
     async with ScriptedGateway(SPEC) as gateway, ApiConnection([gateway.url]) as connection:
         client = TrainerClient(connection)
-        client.patience_s = 0.5
+        client.retry_timeout_s = 0.5
         run = await client.run(SPEC, 1)
         gateway.script["pull"] = [error(404, "unknown_lot")] * 10_000
         with pytest.raises(ApiError, match="m"):
--- a/tests/daemon/test_watches.py
+++ b/tests/daemon/test_watches.py
@@ -204,8 +204,8 @@
     watch = BreakerWatch(breaker)
     for result, now in [(AttemptResult.FAILED, 0.0), (AttemptResult.FAILED, 0.0)]:
         breaker.on_ended("t1", 1, "x", result, now)
-        watch.look("t1")
+        watch.check("t1")
     breaker.on_sent("t1", 1, "probe", 2.0)
     breaker.on_ended("t1", 1, "probe", AttemptResult.SUCCESS, 2.1)
-    watch.look("t1")
+    watch.check("t1")
     assert [event for event, _ in logged] == [events.BREAKER_OPENED, events.BREAKER_CLOSED]
--- a/tests/doors/test_bad_input.py
+++ b/tests/endpoints/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Bad input at the public door: a clear error with a stable code, in bounded time."""
+"""Bad input at the public endpoint: a clear error with a stable code, in bounded time."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from tests.builders.doors import LIMITS, error_of, open_door, parse
+from tests.builders.endpoints import LIMITS, error_of, open_endpoint, parse
 from tests.builders.lots import make_spec
 from turmericreach.lots import Cursor, encode_lot
 
@@ -127,17 +127,17 @@
 
 
 @pytest.fixture
-async def door():
-    async with open_door() as opened:
+async def endpoint():
+    async with open_endpoint() as opened:
         assert (await opened.request("POST", LOTS, lot()))[0] == 200
         yield opened
 
 
-async def test_bad_requests(door):
+async def test_bad_requests(endpoint):
     """Guards against another status or code, an error of another form, and a lost lot."""
     wrong = {}
     for name, (method, path, body, status, code) in CASES.items():
-        answer = await door.request(method, path, body)
+        answer = await endpoint.request(method, path, body)
         try:
             error = error_of(answer)
         except Exception as failure:  # noqa: BLE001 - every wrong form is listed together
@@ -148,11 +148,11 @@
         if (answer[0], error["code"], error["verdict"]) != expected:
             wrong[name] = (answer[0], error)
     assert list(wrong) == [], wrong
-    assert (await door.request("GET", "/v1/lots/eyes-1"))[0] == 200
-    assert (await door.request("POST", PULL, pull()))[0] == 200
-    assert not door.gateway.runner.running
-    assert not door.gateway.lots.opening
-    assert door.gateway.ordinary.bodies.held == 0
+    assert (await endpoint.request("GET", "/v1/lots/eyes-1"))[0] == 200
+    assert (await endpoint.request("POST", PULL, pull()))[0] == 200
+    assert not endpoint.gateway.runner.running
+    assert not endpoint.gateway.lots.opening
+    assert endpoint.gateway.ordinary.bodies.held == 0
 
 
 HEADERS = {
@@ -172,22 +172,22 @@
 
 
 @pytest.mark.parametrize("case", HEADERS)
-async def test_bad_headers(door, case):
+async def test_bad_headers(endpoint, case):
     """Guards against a header that is ignored, or that ends in an internal error."""
-    answer = await door.request("POST", SERVICE, b"{}", [HEADERS[case]])
+    answer = await endpoint.request("POST", SERVICE, b"{}", [HEADERS[case]])
     error = error_of(answer)
     assert (answer[0], error["code"], error["verdict"]) == (400, "bad_request", "not_run")
-    assert door.gateway.runner.requests == []
+    assert endpoint.gateway.runner.requests == []
 
 
-async def test_caller_id_is_on_errors(door):
+async def test_caller_id_is_on_errors(endpoint):
     """Guards against an error that its caller cannot assign to its request."""
     for path in ("/services/other", "/nowhere", "/v1/targets", "/v1/lots/other"):
-        answer = await door.request("GET", path, headers=["Turmericreach-Request-Id: r-7"])
+        answer = await endpoint.request("GET", path, headers=["Turmericreach-Request-Id: r-7"])
         assert error_of(answer)["request_id"] == "r-7"
 
 
-HEAD = b"POST /services/portal/x HTTP/1.1\r\nHost: door\r\n"
+HEAD = b"POST /services/portal/x HTTP/1.1\r\nHost: endpoint\r\n"
 RAW = {
     # sent bytes: (status, code)
     "chunked body too large": (
@@ -245,10 +245,10 @@
 
 
 @pytest.mark.parametrize("case", RAW)
-async def test_raw_bytes(door, case):
+async def test_raw_bytes(endpoint, case):
     """Guards against bytes that hold a connection, memory or a handler without bound."""
     sent, expected = RAW[case]
-    reader, writer = await door.connect()
+    reader, writer = await endpoint.connect()
     writer.write(sent)
     async with asyncio.timeout(3 * LIMITS.slow_sender_timeout_s):
         head = await reader.readuntil(b"\r\n\r\n")
@@ -257,13 +257,13 @@
     writer.close()
     error = error_of(answer)
     assert (answer[0], error["code"], error["verdict"]) == (*expected, "not_run")
-    assert door.gateway.runner.requests == []
-    assert (await door.request("HEAD", "/healthz"))[0] == 200
+    assert endpoint.gateway.runner.requests == []
+    assert (await endpoint.request("HEAD", "/healthz"))[0] == 200
 
 
-async def test_slow_sender_is_closed(door):
+async def test_slow_sender_is_closed(endpoint):
     """Guards against a caller that keeps a connection by sending a byte now and then."""
-    reader, writer = await door.connect()
+    reader, writer = await endpoint.connect()
     writer.write(HEAD + b"Content-Length: 1000\r\n\r\n")
     closed = asyncio.create_task(reader.read())
     async with asyncio.timeout(10 * LIMITS.slow_sender_timeout_s):
@@ -273,24 +273,24 @@
     writer.close()
 
 
-async def test_expect_100_continue(door):
+async def test_expect_100_continue(endpoint):
     """Guards against a caller that waits for leave to send its body."""
-    reader, writer = await door.connect()
+    reader, writer = await endpoint.connect()
     writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
     async with asyncio.timeout(2):
         assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
         writer.write(b"{}")
         await reader.readuntil(b"\r\n\r\n")
     writer.close()
-    assert door.gateway.runner.requests[0].body == b"{}"
+    assert endpoint.gateway.runner.requests[0].body == b"{}"
 
 
 async def test_connection_cap():
     """Guards against connections without bound, and against a refusal without a reason."""
-    async with open_door(limits=attrs.evolve(LIMITS, max_connections=3)) as door:
-        held = [await door.connect() for _ in range(3)]
+    async with open_endpoint(limits=attrs.evolve(LIMITS, max_connections=3)) as endpoint:
+        held = [await endpoint.connect() for _ in range(3)]
         await asyncio.sleep(0.05)
-        reader, writer = await door.connect()
+        reader, writer = await endpoint.connect()
         async with asyncio.timeout(1):
             answer = parse(await reader.read())
         writer.close()
@@ -299,23 +299,23 @@
         for _, writer in held:
             writer.close()
         await asyncio.sleep(0.05)
-        assert (await door.request("GET", "/healthz"))[0] == 200
+        assert (await endpoint.request("GET", "/healthz"))[0] == 200
 
 
-async def test_bodies_of_all_callers_are_bounded_together(door):
+async def test_bodies_of_all_callers_are_bounded_together(endpoint):
     """Guards against memory that many callers fill together."""
-    door.gateway.ordinary.bodies.max_bytes = 8000
+    endpoint.gateway.ordinary.bodies.max_bytes = 8000
     held = []
     for _ in range(2):
-        reader, writer = await door.connect()
+        reader, writer = await endpoint.connect()
         writer.write(HEAD + b"Content-Length: 4001\r\n\r\n" + b"x" * 4000)
         held.append((reader, writer))
         await asyncio.sleep(0.05)
-    answer = await door.request("POST", SERVICE, b"{}")
+    answer = await endpoint.request("POST", SERVICE, b"{}")
     error = error_of(answer)
     assert (answer[0], error["code"], error["verdict"]) == (503, "overloaded", "not_run")
     for _, writer in held:
         writer.close()
     await asyncio.sleep(0.1)
-    assert door.gateway.ordinary.bodies.held == 0
-    assert (await door.request("POST", "/v1/lots", lot()))[0] == 200
+    assert endpoint.gateway.ordinary.bodies.held == 0
+    assert (await endpoint.request("POST", "/v1/lots", lot()))[0] == 200
--- a/tests/doors/test_not_ready.py
+++ b/tests/endpoints/test_not_ready.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.builders.doors import error_of, open_door
+from tests.builders.endpoints import error_of, open_endpoint
 
 
 @pytest.mark.parametrize(
@@ -10,8 +10,8 @@
     [((), "not_run"), (("Idempotency-Key: k1",), "may_have_run")],
 )
 async def test_a_keyed_request_may_have_run_through_another_gateway(headers, verdict):
-    async with open_door() as door:
-        door.gateway.ready = lambda: False
-        answer = await door.request("POST", "/services/portal/orders", b"{}", headers)
+    async with open_endpoint() as endpoint:
+        endpoint.gateway.ready = lambda: False
+        answer = await endpoint.request("POST", "/services/portal/orders", b"{}", headers)
         error = error_of(answer)
         assert (answer[0], error["code"], error["verdict"]) == (503, "not_ready", verdict)
--- a/tests/doors/test_passing.py
+++ b/tests/endpoints/test_passing.py
@@ -1,4 +1,4 @@
-"""Ordinary requests pass the door unchanged, once and whole, and end with their caller."""
+"""Ordinary requests pass the endpoint unchanged, once and whole, and end with their caller."""
 
 import asyncio
 import contextlib
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from tests.builders.doors import error_of, open_door, parse
+from tests.builders.endpoints import error_of, open_endpoint, parse
 from tests.builders.lots import make_spec
 from tests.builders.rawserver import RawServer
 from tests.standins.calls import serving
@@ -34,8 +34,8 @@
 @pytest.mark.parametrize("path", PATHS)
 async def test_path_passes_unchanged(path):
     """Guards against a path that is decoded, resolved or cut at the wrong place."""
-    async with RawServer(EMPTY) as server, open_door(server.url) as door:
-        answer = await door.request("GET", path)
+    async with RawServer(EMPTY) as server, open_endpoint(server.url) as endpoint:
+        answer = await endpoint.request("GET", path)
         sent = server.received.split(b" ")[1].decode() if server.received else None
     assert (answer[0], sent) == (200, PATHS[path])
 
@@ -48,9 +48,9 @@
         b"Content-Type: text/x; charset=y\r\nContent-Length: 2\r\n\r\nok"
     )
     headers = ["X-A: 1", "X-A: 2", "X-T: ä", "Turmericreach-Request-Id: r-1", "Cookie: c=d"]
-    async with RawServer(answer) as server, open_door(server.url) as door:
+    async with RawServer(answer) as server, open_endpoint(server.url) as endpoint:
         head = ["GET /services/portal/x HTTP/1.1", "Host: d", "Connection: close", *headers]
-        raw = await door.exchange("\r\n".join(head).encode() + b"\r\n\r\n")
+        raw = await endpoint.exchange("\r\n".join(head).encode() + b"\r\n\r\n")
         received = server.received
     assert b"x-a: 1\r\nx-a: 2\r\n" in received.lower()
     assert "x-t: ä\r\n".encode() in received
@@ -69,11 +69,11 @@
 async def test_head_and_options():
     """Guards against a HEAD answer with a wrong length, and OPTIONS answered by the gateway."""
     answer = OK + b"Content-Length: 100000\r\nContent-Type: text/plain\r\n\r\n"
-    async with RawServer(answer) as server, open_door(server.url) as door:
-        status, headers, body = await door.request("HEAD", "/services/portal/x")
+    async with RawServer(answer) as server, open_endpoint(server.url) as endpoint:
+        status, headers, body = await endpoint.request("HEAD", "/services/portal/x")
         assert (status, headers["content-length"], body) == (200, "100000", b"")
         server.answer = OK + b"Allow: GET\r\nContent-Length: 0\r\n\r\n"
-        status, headers, _ = await door.request("OPTIONS", "/services/portal/x")
+        status, headers, _ = await endpoint.request("OPTIONS", "/services/portal/x")
         assert (status, headers["allow"]) == (200, "get")
 
 
@@ -119,9 +119,9 @@
 )
 async def test_header_makes_a_request_stricter_only(path, header, idempotent):
     """Guards against a caller that lifts a rule of the manifest."""
-    async with RawServer(EMPTY) as server, open_door(server.url) as door:
-        await door.request("POST", "/services/portal" + path, b"{}", [header])
-        (sent,) = door.gateway.runner.requests
+    async with RawServer(EMPTY) as server, open_endpoint(server.url) as endpoint:
+        await endpoint.request("POST", "/services/portal" + path, b"{}", [header])
+        (sent,) = endpoint.gateway.runner.requests
     assert sent.idempotent is idempotent
 
 
@@ -129,8 +129,11 @@
     """Guards against events that are lost, repeated or split on their way."""
     settings = EngineSettings(tokens_per_s=2000, length_sigma=0.0)
     body = {"prompt": "p", "max_tokens": 300, "stream": True, "ignore_eos": True}
-    async with serving(create_engine(settings, seed=1)) as server, open_door(server.url) as door:
-        answer = await door.request(
+    async with (
+        serving(create_engine(settings, seed=1)) as server,
+        open_endpoint(server.url) as endpoint,
+    ):
+        answer = await endpoint.request(
             "POST", "/services/assistant/v1/completions", msgspec.json.encode(body)
         )
     data = b""
@@ -153,8 +156,8 @@
 
 async def test_stream_that_is_cut_off_never_ends_cleanly():
     """Guards against half a streamed answer that its caller takes for the whole."""
-    async with RawServer(CUT) as server, open_door(server.url) as door:
-        raw = await door.exchange(b"GET /services/portal/x HTTP/1.1\r\nHost: d\r\n\r\n")
+    async with RawServer(CUT) as server, open_endpoint(server.url) as endpoint:
+        raw = await endpoint.exchange(b"GET /services/portal/x HTTP/1.1\r\nHost: d\r\n\r\n")
     assert b"data: 1" in raw
     assert not raw.endswith(b"0\r\n\r\n")
 
@@ -188,22 +191,22 @@
 @pytest.mark.parametrize("answer", [b"", CUT])
 async def test_caller_that_leaves_frees_its_slot(sent, answer):
     """Guards against work for a caller that left, also one with pipelined requests."""
-    async with RawServer(answer) as server, open_door(server.url) as door:
+    async with RawServer(answer) as server, open_endpoint(server.url) as endpoint:
         server.keep_open = True
-        _, writer = await door.connect()
+        _, writer = await endpoint.connect()
         writer.write(sent)
         await asyncio.wait_for(server.arrived.wait(), 1)
         await asyncio.sleep(0.05)
         writer.transport.abort()
         await asyncio.wait_for(server.connection_lost.wait(), 1)
-        await until(lambda: door.gateway.runner.running == 0)
+        await until(lambda: endpoint.gateway.runner.running == 0)
 
 
 async def test_garbage_behind_an_order_is_not_its_answer():
     """Guards against "not run" for an order that runs."""
-    async with RawServer() as server, open_door(server.url) as door:
+    async with RawServer() as server, open_endpoint(server.url) as endpoint:
         server.keep_open = True
-        reader, writer = await door.connect()
+        reader, writer = await endpoint.connect()
         writer.write(POST)
         await asyncio.wait_for(server.arrived.wait(), 1)
         writer.write(b"\x00\x01\r\n\r\n")
@@ -217,10 +220,10 @@
     body = msgspec.json.encode(
         {"cursor": Cursor(spec.size).encode(), "trainer_version": 1, "wait_s": 30}
     )
-    async with open_door() as door:
-        assert (await door.request("POST", "/v1/lots", encode_lot(spec)))[0] == 200
-        runner = door.gateway.lots.runners[spec.name]
-        _, writer = await door.connect()
+    async with open_endpoint() as endpoint:
+        assert (await endpoint.request("POST", "/v1/lots", encode_lot(spec)))[0] == 200
+        runner = endpoint.gateway.lots.runners[spec.name]
+        _, writer = await endpoint.connect()
         head = f"POST /v1/lots/{spec.name}/pull HTTP/1.1\r\nHost: d\r\nContent-Length: {len(body)}"
         writer.write(head.encode() + b"\r\n\r\n" + body)
         await asyncio.sleep(0.1)
@@ -229,14 +232,14 @@
         last = runner.last_pull
         await asyncio.sleep(0.7)
         assert runner.last_pull == last
-        assert (await door.request("GET", f"/v1/lots/{spec.name}"))[0] == 200
+        assert (await endpoint.request("GET", f"/v1/lots/{spec.name}"))[0] == 200
 
 
 async def test_pipelined_requests_are_answered_in_order():
     """Guards against answers that change places."""
-    async with RawServer(EMPTY) as server, open_door(server.url) as door:
+    async with RawServer(EMPTY) as server, open_endpoint(server.url) as endpoint:
         last = GET.replace(b"Host", b"Connection: close\r\nHost")
-        raw = await door.exchange(
+        raw = await endpoint.exchange(
             b"GET /healthz HTTP/1.1\r\nHost: d\r\n\r\n"
             + b"GET /nowhere HTTP/1.1\r\nHost: d\r\n\r\n"
             + last
@@ -249,10 +252,10 @@
 async def test_slow_reader_bounds_memory():
     """Guards against an answer that is buffered whole for a caller that does not read."""
     endless = OK + b"Transfer-Encoding: chunked\r\n\r\n"
-    async with RawServer(endless) as server, open_door(server.url) as door:
+    async with RawServer(endless) as server, open_endpoint(server.url) as endpoint:
         server.repeated = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
         before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-        reader, writer = await door.connect()
+        reader, writer = await endpoint.connect()
         writer.write(GET)
         sent = await settled(lambda: server.sent)
         assert 0 < sent < 32 * 1024 * 1024
@@ -260,27 +263,27 @@
         with contextlib.suppress(ConnectionError):
             await reader.read(1_000_000)
         writer.transport.abort()
-        await until(lambda: door.gateway.runner.running == 0)
+        await until(lambda: endpoint.gateway.runner.running == 0)
 
 
 async def test_caller_that_never_reads_is_cut_off(monkeypatch):
     """Guards against connections that callers hold for ever without reading."""
     monkeypatch.setattr("turmericreach.httpserver.protocol.SLOW_READER_TIMEOUT_S", 0.3)
     endless = OK + b"Transfer-Encoding: chunked\r\n\r\n"
-    async with RawServer(endless) as server, open_door(server.url) as door:
+    async with RawServer(endless) as server, open_endpoint(server.url) as endpoint:
         server.repeated = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
-        _, writer = await door.connect()
+        _, writer = await endpoint.connect()
         writer.write(GET)
         await asyncio.wait_for(server.arrived.wait(), 1)
         await asyncio.wait_for(server.connection_lost.wait(), 2)
-        await until(lambda: not door.server.server.server_state.connections)
+        await until(lambda: not endpoint.server.server.server_state.connections)
         writer.close()
 
 
 async def test_lost_answer_has_its_verdict():
     """Guards against "not run" for a request whose answer was lost."""
-    async with RawServer() as server, open_door(server.url) as door:
-        answer = await door.request("POST", "/services/portal/orders", b"{}")
+    async with RawServer() as server, open_endpoint(server.url) as endpoint:
+        answer = await endpoint.request("POST", "/services/portal/orders", b"{}")
         error = error_of(answer)
         assert (answer[0], error["code"], error["verdict"]) == (
             502,
@@ -292,8 +295,8 @@
 
 async def test_kept_connection_serves_after_an_error():
     """Guards against an error that leaves the connection out of step."""
-    async with open_door() as door:
-        reader, writer = await door.connect()
+    async with open_endpoint() as endpoint:
+        reader, writer = await endpoint.connect()
         for path in (b"/nowhere", b"/services/other", b"/healthz"):
             writer.write(b"GET " + path + b" HTTP/1.1\r\nHost: d\r\n\r\n")
             head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/rpc/test_streams.py
+++ b/tests/rpc/test_streams.py
@@ -40,7 +40,7 @@
 
 
 async def read_slowly(stream, task, pause_s):
-    """Read a stream as the HTTP door does; return its chunks."""
+    """Read a stream as the HTTP endpoint does; return its chunks."""
     await stream.started.wait()
     chunks = []
     while (chunk := await stream.next_chunk()) is not None:
--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -1,7 +1,7 @@
 """Attempts: running a request at a target and establishing whether it ran."""
 
 from turmericreach.attempts.claim_cleaner import ClaimCleaner, ClaimRecord
-from turmericreach.attempts.claims import ClaimKeeper
+from turmericreach.attempts.claims import ClaimRegistry
 from turmericreach.attempts.ids import new_attempt_id, new_incarnation, new_request_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router
@@ -24,7 +24,7 @@
     "CallerRequest",
     "CallerStream",
     "ClaimCleaner",
-    "ClaimKeeper",
+    "ClaimRegistry",
     "ClaimRecord",
     "DuplicateAttempt",
     "Peers",
--- a/turmericreach/attempts/claims.py
+++ b/turmericreach/attempts/claims.py
@@ -11,7 +11,7 @@
 from turmericreach.rpc import PeerError
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
-__all__ = ["AttemptSettler", "ClaimKeeper", "ClaimRecord"]
+__all__ = ["AttemptSettler", "ClaimRegistry", "ClaimRecord"]
 
 RETRY_AFTER_S = 2.0
 WRITE_TRIES = 4
@@ -24,7 +24,7 @@
         """Return what became of the attempt; raises `PeerError`."""
 
 
-class ClaimKeeper:
+class ClaimRegistry:
     """Creates and takes over claims in the object API.
 
     Parameters
--- a/turmericreach/client/connection.py
+++ b/turmericreach/client/connection.py
@@ -15,7 +15,7 @@
 BACKOFF_MAX_S = 5.0
 BACKOFF_JITTER = 0.3
 DEFAULT_TIMEOUT_S = 30.0
-PATIENCE_S = 120.0
+RETRY_TIMEOUT_S = 120.0
 MAX_ANSWER_BYTES = 256 * 1024 * 1024
 RETRYABLE_STATUSES = (408, 429, 502, 503, 504)
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -56,20 +56,20 @@
 
 
 class Backoff:
-    """Growing pauses between repetitions, up to the end of a caller's patience.
+    """Growing pauses between repetitions, until the time for repetitions is over.
 
     Parameters
     ----------
-    patience_s : float
+    retry_timeout_s : float
         Seconds from now after which no further repetition starts.
     """
 
-    def __init__(self, patience_s: float):
-        self.ends = asyncio.get_running_loop().time() + patience_s
+    def __init__(self, retry_timeout_s: float):
+        self.ends = asyncio.get_running_loop().time() + retry_timeout_s
         self.pause_s = BACKOFF_START_S
 
     async def wait(self, least_s: float = 0.0) -> bool:
-        """Pause for at least `least_s`; return False at once if patience would end before."""
+        """Pause for at least `least_s`; return False at once if the time would end before."""
         pause_s = max(self.pause_s, least_s) * (1 + random.uniform(0, BACKOFF_JITTER))
         if asyncio.get_running_loop().time() + pause_s > self.ends:
             return False
@@ -180,16 +180,16 @@
         body=None,
         answer_type=dict,
         timeout_s: float = DEFAULT_TIMEOUT_S,
-        patience_s: float = PATIENCE_S,
+        retry_timeout_s: float = RETRY_TIMEOUT_S,
     ):
-        """Make an idempotent call and repeat it until it is answered or patience ends.
+        """Make an idempotent call and repeat it until it is answered or its time is over.
 
         Raises
         ------
         ApiError
             The last error, or at once an error that a repetition cannot change.
         """
-        backoff = Backoff(patience_s)
+        backoff = Backoff(retry_timeout_s)
         while True:
             try:
                 return await self.call(method, path, body, answer_type, timeout_s)
--- a/turmericreach/client/trainer.py
+++ b/turmericreach/client/trainer.py
@@ -11,7 +11,7 @@
     PullAnswer,
     PullRequest,
 )
-from turmericreach.client.connection import PATIENCE_S, ApiConnection, ApiError, Backoff
+from turmericreach.client.connection import RETRY_TIMEOUT_S, ApiConnection, ApiError, Backoff
 from turmericreach.lots import Cursor, LotSpec, Sample
 from turmericreach.verdicts import ErrorCode
 
@@ -115,13 +115,13 @@
 
     Attributes
     ----------
-    patience_s : float
+    retry_timeout_s : float
         Seconds for which a pull declares a lot again that stays unknown.
     """
 
     def __init__(self, connection: ApiConnection):
         self.connection = connection
-        self.patience_s = PATIENCE_S
+        self.retry_timeout_s = RETRY_TIMEOUT_S
 
     async def declare(self, spec: LotSpec) -> DeclareAnswer:
         """Declare a lot; a repetition with the same content changes nothing."""
@@ -151,7 +151,7 @@
         """Pull samples; declares the lot again if its coordinator was lost with it."""
         path = f"/v1/lots/{spec.name}/pull"
         timeout_s = request.wait_s + PULL_MARGIN_S
-        backoff = Backoff(self.patience_s)
+        backoff = Backoff(self.retry_timeout_s)
         while True:
             try:
                 return await self.connection.call_repeatedly(
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -1,4 +1,4 @@
-"""A gateway: HTTP door, routing, lots and duties."""
+"""A gateway: HTTP endpoint, routing, lots and duties."""
 
 import asyncio
 import uuid
@@ -6,7 +6,7 @@
 import msgspec
 
 from turmericreach.api import AnnounceRequest
-from turmericreach.attempts import CallerRequest, ClaimKeeper, RequestRunner, SentAttempt
+from turmericreach.attempts import CallerRequest, ClaimRegistry, RequestRunner, SentAttempt
 from turmericreach.audit import AuditLog, AuditRecord
 from turmericreach.daemon.audit_copies import AUDIT_COPY, AuditCopies
 from turmericreach.daemon.config_audit import ConfigAudit
@@ -70,7 +70,7 @@
         self.runner = RequestRunner(
             self, self.peers, self, ObservedBudget(node.metrics, node.now())
         )
-        self.claims = ClaimKeeper(node.store, self, node.wall_clock)
+        self.claims = ClaimRegistry(node.store, self, node.wall_clock)
         self.lots = LotService(node, self.lot_context)
         self.sweeps = Sweeps(node, self.lots.store, self.claims.cleaner)
         self.lots.observer.record = self.record
@@ -180,7 +180,7 @@
     def on_ended(self, target, attempt_id, outcome, latency_s, tokens, now):
         """Learn from an attempt."""
         self.table.on_ended(target, attempt_id, outcome, latency_s, tokens, now)
-        self.breakers.look(target)
+        self.breakers.check(target)
 
     def state_of(self, target):
         """Return what is believed about a target."""
--- a/turmericreach/daemon/observations.py
+++ b/turmericreach/daemon/observations.py
@@ -47,7 +47,7 @@
         self.breaker = breaker
         self.open: set[str] = set()
 
-    def look(self, target: str) -> None:
+    def check(self, target: str) -> None:
         """Compare a target's breakers with the last look."""
         circuits = self.breaker.circuits.get(target, {}).values()
         opened = [circuit for circuit in circuits if circuit.open_s]
--- a/turmericreach/daemon/ordinary.py
+++ b/turmericreach/daemon/ordinary.py
@@ -1,4 +1,4 @@
-"""Ordinary requests: from the HTTP door to a target and back."""
+"""Ordinary requests: from the HTTP endpoint to a target and back."""
 
 import asyncio
 
--- a/turmericreach/httpserver/__init__.py
+++ b/turmericreach/httpserver/__init__.py
@@ -1,4 +1,4 @@
-"""The HTTP door: connection limits, request limits and error answers."""
+"""The HTTP endpoint: connection limits, request limits and error answers."""
 
 from turmericreach.httpserver.body import BodyBudget, read_body, read_json
 from turmericreach.httpserver.disconnect import CancelOnDisconnect, on_end
