Extend the quickstart by the commands of operators

Cause: the page showed neither drains, diff, audit nor what a conflict and a rejected manifest look like. Change: drain and lift, diff, a racing apply (exit code 3), a rejected manifest (exit code 2), weights, explain of a sample and of a request, audit, and a restart of agent and gateway in turn; the test runs them all. Ruled out: manifest history and lots on this page, for the time. The assertion on the JSON of /v1/targets became one on the table of `turmericreach weights`, which has wanted, active and real version.

--- a/tests/docs/test_quickstart.py
+++ b/tests/docs/test_quickstart.py
@@ -58,5 +58,15 @@
     orders = re.findall(r'\{"request_id":"(\w+)","method":"POST"[^}]*"execution":(\d+)', printed)
     assert len(orders) == 2
     assert orders[0] == orders[1]
-    assert re.search(r'"target":"assistant-1"[^}]*"version":2', printed)
+    assert "portal-1: nothing in flight" in printed
+    assert "portal-1: drain lifted" in printed
+    assert re.search(r"targets\[portal-1\]\.slots +32 +16", printed)
+    assert "racing apply: exit code 3" in printed
+    assert "rejected manifest: exit code 2" in printed
+    assert re.search(r"^ *assistant-1 +assistant +2 +2 +2 ", printed, re.MULTILINE)
+    assert re.search(r"^request \w+, attempt ", printed, re.MULTILINE)
+    for change in ("apply +manifest", "drain +target/portal-1", "undrain +target/portal-1"):
+        assert re.search(rf" {change} ", printed), change
+    assert re.search(r" announce +model/assistant ", printed)
+    assert printed.count('{"state":"ready"}') == 2
     assert "handed to trainer-1 at version 1" in printed
