--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -150,13 +150,19 @@
 
 
 async def test_load_report_lags(engine):
-    await set_faults(engine, load_lag_s=5)
-    running = asyncio.ensure_future(complete(engine, 100))
-    await asyncio.sleep(0.1)
-    assert (await call(engine, "GET", "/v1/load"))[2]["running"] == 0
+    running = asyncio.ensure_future(complete(engine, 10_000))
+    async with asyncio.timeout(10):
+        while await reported_load(engine) == 0:
+            await asyncio.sleep(0.01)
+    await set_faults(engine, load_lag_s=30)
+    assert await reported_load(engine) == 0
     await set_faults(engine, load_lag_s=None)
-    assert (await call(engine, "GET", "/v1/load"))[2]["running"] == 1
-    await running
+    assert await reported_load(engine) == 1
+    running.cancel()
+
+
+async def reported_load(engine):
+    return (await call(engine, "GET", "/v1/load"))[2]["running"]
 
 
 async def test_stop_and_kill_end_open_streams():
