Let rollouts wait for a new version by the weight of staleness

Change: with weight on staleness, a rollout does not start while the trainer has a version that the engines lack (at most 20 s times the weight), nor shortly before an expected version that it would span. Rows with weights every 30 s are added. An overdue version or one that is never loaded does not stop a lot.

--- a/benchmarks/policy/rows.py
+++ b/benchmarks/policy/rows.py
@@ -11,6 +11,8 @@
 # These variants do not depend on the other faults, or are compared to the calm run.
 FULL = ["no_rollouts", "round_robin", "least_outstanding", "first_release", "current"]
 WEIGHTINGS = ["weighting_0", "weighting_0.5", "weighting_1"]
+# Weights every 30 s, since few samples span a version change at two minutes.
+FAST_WEIGHTINGS = ["fast_weighting_0", "fast_weighting_0.5", "fast_weighting_1"]
 DRIVER_IDEAS = ["no_retry_budgets", "one_retry_budget", "no_circuit_breaker", "no_not_sent"]
 ABLATIONS = [
     "without_load_of_queues",
@@ -45,7 +47,7 @@
     for fault in FAULTS:
         variants = FULL if fault in ("calm", "crash") else ["first_release", "current"]
         rows += [(fault, variant) for variant in variants]
-    rows += [("calm", variant) for variant in WEIGHTINGS + ABLATIONS]
+    rows += [("calm", variant) for variant in WEIGHTINGS + FAST_WEIGHTINGS + ABLATIONS]
     rows += [("crash", variant) for variant in DRIVER_IDEAS]
     return rows
 
--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -28,6 +28,8 @@
         Whether a refused connection counts as "not sent"; otherwise the attempt may have run.
     weighting : float or None
         Replaces `policy.weighting` of the workload.
+    weights_interval_s : float or None
+        Replaces the seconds between two versions of the weights.
     shares_models : bool
         Whether the lots of a process share what they learn of lengths and speeds.
     expected_cost : bool
@@ -48,6 +50,7 @@
     budget_by_cause: bool = True
     tells_not_sent: bool = True
     weighting: float | None = None
+    weights_interval_s: float | None = None
     shares_models: bool = False
     expected_cost: bool = True
     rollouts: bool = True
@@ -97,6 +100,9 @@
         Variant("weighting_0", weighting=0.0),
         Variant("weighting_0.5", weighting=0.5),
         Variant("weighting_1", weighting=1.0),
+        Variant("fast_weighting_0", weighting=0.0, weights_interval_s=30.0),
+        Variant("fast_weighting_0.5", weighting=0.5, weights_interval_s=30.0),
+        Variant("fast_weighting_1", weighting=1.0, weights_interval_s=30.0),
         Variant("no_retry_budgets", budgets=ENDLESS),
         Variant("one_retry_budget", budget_by_cause=False),
         Variant("no_circuit_breaker", routing=RoutingPolicy(breaker_threshold=NEVER)),
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -78,6 +78,7 @@
         self.seed = seed
         self.clock = VirtualClock()
         self.policy = workload.policy(variant.weighting)
+        self.weights_interval_s = variant.weights_interval_s or WEIGHTS_INTERVAL_S
         self.tally = Tally()
         self.report_lag_s = LAGGING_REPORT_S if fault == "lagging_reports" else REPORT_LAG_S
         self.version = 1
@@ -115,7 +116,7 @@
         for target in self.engines:
             target.converge()
         self.clock.after(PLAN_S, self.plan_weights)
-        self.clock.after(WEIGHTS_INTERVAL_S, self.announce)
+        self.clock.after(self.weights_interval_s, self.announce)
         self.schedule_fault()
         ordinary = random.Random(f"ordinary/{self.workload.name}/{self.seed}")
         plain = random.Random(f"plain/{self.workload.name}/{self.seed}")
@@ -144,7 +145,7 @@
         """Publish the next version; the platform does not take it during an outage."""
         self.version += 1
         now = self.clock.now
-        self.clock.after(WEIGHTS_INTERVAL_S, self.announce)
+        self.clock.after(self.weights_interval_s, self.announce)
         wanted = WantedVersion("m", self.version)
         down = OUTAGE_AT_S <= now < OUTAGE_AT_S + OUTAGE_S
         if self.fault == "platform_outage" and down:
--- a/tests/lots/test_coordinator.py
+++ b/tests/lots/test_coordinator.py
@@ -247,6 +247,25 @@
     assert again.prefer_target == "slow"
 
 
+@pytest.mark.parametrize(("weighting", "started"), [(0.0, 1), (1.0, 0)])
+def test_staleness_waits_for_an_announced_version(weighting, started):
+    """Guards against rollouts that are stale already when they start."""
+    coordinator = make_coordinator(weighting=weighting)
+    coordinator.next_tasks(0.0, 1, 0, ONE_ENGINE)
+    coordinator.pull(coordinator.cursor, 2, 8, 1.0)
+    assert len(coordinator.next_tasks(1.0, 1, 1, ONE_ENGINE)) == started
+    assert len(coordinator.next_tasks(2.0, 2, 1, ONE_ENGINE)) == 1
+
+
+def test_a_version_that_never_comes_does_not_stop_a_lot():
+    """Guards against a lot that waits for a failed rollout of weights."""
+    coordinator = make_coordinator(weighting=1.0)
+    coordinator.next_tasks(0.0, 1, 0, ONE_ENGINE)
+    coordinator.pull(coordinator.cursor, 2, 8, 1.0)
+    assert coordinator.next_tasks(1.0, 1, 1, ONE_ENGINE) == []
+    assert len(coordinator.next_tasks(30.0, 1, 1, ONE_ENGINE)) == 1
+
+
 @pytest.mark.parametrize(("weighting", "first"), [(0.0, 0), (1.0, 1)])
 def test_weighting_trades_length_against_age(weighting, first):
     """Guards against a weighting that changes nothing."""
--- a/turmericreach/lots/coordinator.py
+++ b/turmericreach/lots/coordinator.py
@@ -129,6 +129,7 @@
             ``bad_request``, or ``cancelled`` or ``leaving`` if the lot has ended here.
         """
         self.refuse_if_stopped()
+        self.state.clock.announce(trainer_version, now)
         return delivery.pull_samples(
             self.state,
             cursor,
--- a/turmericreach/lots/estimates.py
+++ b/turmericreach/lots/estimates.py
@@ -20,6 +20,9 @@
 INTERVALS_KEPT = 8
 # A rollout that outlasts its estimate is expected to run on for half of what it has produced.
 OVERRUN_FACTOR = 1.5
+# Longest time that rollouts wait for a version that the trainer has and the engines lack. Engines
+# load a version within seconds; a failed rollout of weights must not stop the lot.
+LONGEST_HOLD_S = 20.0
 
 
 class LengthModel:
@@ -103,6 +106,8 @@
     intervals: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=INTERVALS_KEPT)
     )
+    announced: int = 0
+    announced_at: float = -math.inf
 
     def observe(self, version, now):
         """Take the current version; lower ones are ignored."""
@@ -116,6 +121,30 @@
         self.version = max(version, self.version)
         self.changed_at = now
 
+    def announce(self, version, now):
+        """Take the version of the trainer, which the engines may not have yet."""
+        if version > self.announced:
+            self.announced = version
+            self.announced_at = now
+
+    def should_wait(self, now, duration_s, weight):
+        """Return whether a rollout had better start after the next version change.
+
+        Parameters
+        ----------
+        duration_s : float
+            Expected duration of the rollout.
+        weight : float
+            Weight of staleness, 0 to 1; a larger one waits longer.
+        """
+        if self.announced > self.version and now - self.announced_at < weight * LONGEST_HOLD_S:
+            return True
+        if math.isinf(self.interval):
+            return False
+        # A version that is overdue may not come at all, so nothing waits for it.
+        left_s = self.changed_at + self.interval - now
+        return 0.0 < left_s < weight * min(duration_s, self.interval)
+
     @property
     def interval(self):
         """Median time between new versions in seconds, infinite if unknown."""
--- a/turmericreach/lots/scheduling.py
+++ b/turmericreach/lots/scheduling.py
@@ -35,6 +35,12 @@
         ends_at = self.state.clock.forecast(self.now, duration)
         return ends_at - engine.version <= spec.staleness_bound
 
+    def waits_for_version(self, engine, tokens):
+        """Return whether a rollout would better start on the next weight version."""
+        duration = self.state.speeds.duration(engine.target, tokens)
+        weight = self.state.policy.weighting
+        return self.state.clock.should_wait(self.now, duration, weight)
+
     def speed(self, engine):
         """Return the single-stream speed of an engine."""
         return self.state.speeds.speed(engine.target)
@@ -45,6 +51,8 @@
         for engine in self.engines:
             if self.free[engine.target] <= 0 or not self.fits(engine, tokens):
                 continue
+            if self.waits_for_version(engine, tokens):
+                continue
             if engine.target == home:
                 return engine
             if best is None or self.speed(engine) > self.speed(best):
