Bound the wait for a version when versions come in quick succession

Cause: each version that the trainer announced restarted the wait of at most 20 s, so engines that lag behind all the time stopped a lot for good. Change: the wait counts from the first version that the engines lack.

--- a/tests/lots/test_coordinator.py
+++ b/tests/lots/test_coordinator.py
@@ -266,6 +266,15 @@
     assert len(coordinator.next_tasks(30.0, 1, 1, ONE_ENGINE)) == 1
 
 
+def test_versions_in_quick_succession_do_not_stop_a_lot():
+    """Guards against a wait that every further version prolongs while the engines lag behind."""
+    coordinator = make_coordinator(weighting=1.0)
+    coordinator.next_tasks(0.0, 1, 0, ONE_ENGINE)
+    for version in (2, 3, 4):
+        coordinator.pull(coordinator.cursor, version, 8, 10.0 * (version - 2))
+    assert len(coordinator.next_tasks(21.0, 1, 1, ONE_ENGINE)) == 1
+
+
 @pytest.mark.parametrize(("weighting", "first"), [(0.0, 0), (1.0, 1)])
 def test_weighting_trades_length_against_age(weighting, first):
     """Guards against a weighting that changes nothing."""
--- a/turmericreach/lots/estimates.py
+++ b/turmericreach/lots/estimates.py
@@ -123,9 +123,12 @@
 
     def announce(self, version, now):
         """Take the version of the trainer, which the engines may not have yet."""
-        if version > self.announced:
-            self.announced = version
+        if version <= self.announced:
+            return
+        # While the engines lag behind, further versions must not prolong the wait.
+        if self.announced <= self.version:
             self.announced_at = now
+        self.announced = version
 
     def should_wait(self, now, duration_s, weight):
         """Return whether a rollout had better start after the next version change.
