--- a/benchmarks/cost/deployment.py
+++ b/benchmarks/cost/deployment.py
@@ -60,7 +60,10 @@
 
 
 def make_small_layout(folder):
-    """Place one gateway, one agent, one engine, one plain worker and a scorer."""
+    """Place one gateway, one agent, one engine, one plain worker and a scorer.
+
+    Daemons and callers connect without the demo's delayed links, which would hide the cost.
+    """
     deployment = DEPLOYMENTS["silmalasi"]
     ports = iter(free_ports(8))
     centre = deployment.data_centres[0]
@@ -71,9 +74,25 @@
         TargetPlace("portal-1", plain, centre, next(ports), False),
         TargetPlace("scoring-1", "scoring", centre, next(ports), False),
     ]
+    gateway_port, http_port, agent_port = next(ports), next(ports), next(ports)
     daemons = [
-        DaemonPlace("gateway-1", "gateway", centre, next(ports), next(ports)),
-        DaemonPlace("agent-1", "agent", centre, next(ports), 0, targets),
+        DaemonPlace(
+            "gateway-1",
+            "gateway",
+            centre,
+            rpc_port=gateway_port,
+            link_port=gateway_port,
+            http_port=http_port,
+            caller_port=http_port,
+        ),
+        DaemonPlace(
+            "agent-1",
+            "agent",
+            centre,
+            rpc_port=agent_port,
+            link_port=agent_port,
+            targets=targets,
+        ),
     ]
     return Layout(deployment, folder, next(ports), next(ports), targets[2], daemons)
 
@@ -142,6 +161,8 @@
                 "manifest",
                 "apply",
                 str(write_manifest(layout)),
+                "--generation",
+                "0",
                 "--platform",
                 f"http://{IP}:{layout.objects_port}",
                 "--wait",
