Settle attempts through one function

Cause: the runner and the gateway held the same settlement call with a time-out constant each. Ruled out: a method of the peer connection, which knows nothing of sent attempts. Change: settle_attempt stands beside SentAttempt; the runner's other use of the constant, the cancel call, has a name of its own.

--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -5,7 +5,7 @@
 from turmericreach.attempts.ids import new_attempt_id, new_incarnation, new_request_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router
-from turmericreach.attempts.sent import SentAttempt
+from turmericreach.attempts.sent import SentAttempt, settle_attempt
 from turmericreach.attempts.stream import CallerStream
 from turmericreach.attempts.table import (
     MAX_DEADLINE_S,
@@ -34,4 +34,5 @@
     "new_attempt_id",
     "new_incarnation",
     "new_request_id",
+    "settle_attempt",
 ]
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -10,7 +10,7 @@
 
 from turmericreach.attempts.ids import new_attempt_id
 from turmericreach.attempts.request import CallerRequest
-from turmericreach.attempts.sent import SentAttempt
+from turmericreach.attempts.sent import SentAttempt, settle_attempt
 from turmericreach.attempts.stream import AttemptChunks, CallerStream
 from turmericreach.routing import (
     Choice,
@@ -34,7 +34,7 @@
 
 __all__ = ["AttemptObserver", "Peers", "RequestRunner", "Router"]
 
-SETTLE_TIMEOUT_S = 2.0
+CANCEL_TIMEOUT_S = 2.0
 SETTLE_TRIES = 2
 # Time beyond the deadline in which the agent may still report the outcome itself.
 ANSWER_GRACE_S = 0.5
@@ -295,7 +295,7 @@
 
     def cancel_in_background(self, client: PeerClient, attempt_id: str) -> None:
         """Tell the agent that the result is no longer needed."""
-        task = asyncio.ensure_future(client.cancel(attempt_id, SETTLE_TIMEOUT_S))
+        task = asyncio.ensure_future(client.cancel(attempt_id, CANCEL_TIMEOUT_S))
         task.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     async def settle(self, request: CallerRequest, sent: SentAttempt, error: PeerError) -> Outcome:
@@ -309,13 +309,7 @@
             wait_s = 0.0 if request.idempotent else max(0.0, request.deadline - self.now())
             try:
                 client = await self.peers.agent_of(sent.target)
-                return await client.settle(
-                    sent.attempt_id,
-                    sent.incarnation,
-                    sent.deadline_ms,
-                    wait_s,
-                    wait_s + SETTLE_TIMEOUT_S,
-                )
+                return await settle_attempt(client, sent, wait_s)
             except PeerError as failure:
                 unknown = attrs.evolve(unknown, evidence=f"{unknown.evidence}; settle: {failure}")
                 self.peers.drop_agent_of(sent.target)
--- a/turmericreach/attempts/sent.py
+++ b/turmericreach/attempts/sent.py
@@ -2,7 +2,12 @@
 
 import attrs
 
-__all__ = ["SentAttempt"]
+from turmericreach.rpc import PeerClient
+from turmericreach.verdicts import Outcome
+
+__all__ = ["SentAttempt", "settle_attempt"]
+
+SETTLE_TIMEOUT_S = 2.0
 
 
 @attrs.frozen
@@ -19,3 +24,25 @@
     target: str
     incarnation: int
     deadline_ms: int
+
+
+async def settle_attempt(client: PeerClient, sent: SentAttempt, wait_s: float) -> Outcome:
+    """Ask the agent of an attempt what became of it.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds that the agent may wait for an attempt that has started.
+
+    Raises
+    ------
+    PeerError
+        If the agent does not answer.
+    """
+    return await client.settle(
+        sent.attempt_id,
+        sent.incarnation,
+        sent.deadline_ms,
+        wait_s,
+        wait_s + SETTLE_TIMEOUT_S,
+    )
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -6,7 +6,13 @@
 import msgspec
 
 from turmericreach.api import AnnounceRequest
-from turmericreach.attempts import CallerRequest, ClaimRegistry, RequestRunner, SentAttempt
+from turmericreach.attempts import (
+    CallerRequest,
+    ClaimRegistry,
+    RequestRunner,
+    SentAttempt,
+    settle_attempt,
+)
 from turmericreach.audit import AuditLog, AuditRecord
 from turmericreach.daemon.audit_copies import AUDIT_COPY, AuditCopies
 from turmericreach.daemon.config_audit import ConfigAudit
@@ -42,7 +48,6 @@
 __all__ = ["GatewayDaemon"]
 
 SYNC_INTERVAL_S = 0.25
-SETTLE_TIMEOUT_S = 2.0
 CLAIM_WAIT_S = 1.0
 # Health checks fail for this long before connections are refused, so that the platform's balancer
 # stops sending requests here first.
@@ -207,13 +212,7 @@
     async def settle_sent(self, sent: SentAttempt, wait_s: float) -> Outcome:
         """Settle an attempt that another gateway may have sent."""
         client = await self.peers.agent_of(sent.target)
-        return await client.settle(
-            sent.attempt_id,
-            sent.incarnation,
-            sent.deadline_ms,
-            wait_s,
-            wait_s + SETTLE_TIMEOUT_S,
-        )
+        return await settle_attempt(client, sent, wait_s)
 
     # PeerHandler protocol
 
