Serve the platform's whole path: requests, lots, versions

Cause: the product stood beside the users' platform and spoke none of its protocol. Change: platform/ decodes the platform's names; http1/ passes requests at protocol level; metadata/ is the one client of the store; batches/ keeps lots as objects whose results are numbered objects that are created once; versions/ gives orders under a fencing token; node/ is the program. Hosts with disks hold nothing. Ruled out: two owners writing one position; the store creates each segment once.

--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -17,6 +17,7 @@
     configure_logging,
     events,
     log_event,
+    node_events,
     render_event_catalogue,
     render_metric_catalogue,
 )
@@ -87,7 +88,8 @@
     """Guards against one code for two events."""
     declared = [event for group in events.CONCERNS.values() for event in group]
     assert len({e.code for e in declared}) == len({e.name for e in declared}) == len(declared)
-    assert {id(v) for v in vars(events).values() if isinstance(v, events.Event)} == {
+    in_modules = [*vars(events).values(), *vars(node_events).values()]
+    assert {id(v) for v in in_modules if isinstance(v, events.Event)} == {
         id(event) for event in declared
     }
 
--- a/tests/telemetry/test_usage.py
+++ b/tests/telemetry/test_usage.py
@@ -17,11 +17,11 @@
 from turmericreach.membership import MemberRecord, MemberTable
 from turmericreach.objectstore import RateLimited
 from turmericreach.routing import RetryCause, RetryCounts
-from turmericreach.telemetry import Metrics, events, metric_catalogue
+from turmericreach.telemetry import Metrics, events, metric_catalogue, node_events
 from turmericreach.verdicts import Outcome, Segment, Verdict
 
 PACKAGE = Path(turmericreach.__file__).parent
-DECLARATIONS = {"events.py", "metric_catalogue.py"}
+DECLARATIONS = {"events.py", "node_events.py", "metric_catalogue.py"}
 
 
 def source():
@@ -32,7 +32,11 @@
 
 @pytest.mark.parametrize(
     ("module", "alias", "kind"),
-    [(events, "events", "Event"), (metric_catalogue, "metrics", "Metric")],
+    [
+        (events, "events", "Event"),
+        (node_events, "events", "Event"),
+        (metric_catalogue, "metrics", "Metric"),
+    ],
 )
 def test_every_declaration_is_used(module, alias, kind):
     """Guards against a catalogue that promises events or metrics that no code ever sends."""
--- /dev/null
+++ b/turmericreach/batches/registry.py
@@ -0,0 +1,255 @@
+"""All lots, and which of them this process runs."""
+
+import asyncio
+from collections.abc import Callable
+
+from turmericreach.batches.log import BatchLog, segment_kind
+from turmericreach.batches.model import ItemResult, Progress
+from turmericreach.batches.records import (
+    LOT_PREFIX,
+    OWN_KIND,
+    BatchRecord,
+    lot_name,
+    read_record,
+)
+from turmericreach.batches.run import BatchRun
+from turmericreach.batches.scheduler import ItemScheduler
+from turmericreach.batches.scoring import ScorerCalls
+from turmericreach.http1 import ConnectionPool
+from turmericreach.metadata import Conflict, MetadataClient, StoredObject
+from turmericreach.platform.decoding import DecodeError
+from turmericreach.platform.lots import decode_submission
+from turmericreach.services import Configuration
+from turmericreach.telemetry import log_event
+from turmericreach.telemetry import node_events as events
+
+__all__ = ["BatchRegistry"]
+
+# Texts of ended lots that may be asked for again are kept for as many items.
+KEPT_PROGRESS = 512
+START_RETRY_S = 0.2
+
+
+class BatchRegistry:
+    """Follows the stored lots; runs those whose owner is this host.
+
+    Attributes
+    ----------
+    records : dict of str to BatchRecord
+        Known lots.
+    kept : dict of str to Progress
+        Text of items whose lot ended before they were listed.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        client: MetadataClient,
+        scheduler: ItemScheduler,
+        pool: ConnectionPool,
+        scorer_calls: ScorerCalls,
+        configuration: Callable[[], Configuration | None],
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.client = client
+        self.scheduler = scheduler
+        self.pool = pool
+        self.scorer_calls = scorer_calls
+        self.configuration = configuration
+        self.records: dict[str, BatchRecord] = {}
+        self.logs: dict[str, BatchLog] = {}
+        self.kept: dict[str, Progress] = {}
+        self.starting: dict[str, asyncio.Task] = {}
+        self.leaving = False
+
+    # Changes in the store
+
+    def object_changed(self, object: StoredObject) -> None:
+        """Take a lot's object."""
+        if not object.name.startswith(LOT_PREFIX):
+            return
+        try:
+            record = read_record(object)
+        except (KeyError, TypeError) as error:
+            log_event(
+                events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=f"{object.name}: {error}"
+            )
+            return
+        known = self.records.get(record.lot)
+        if known is not None and known.revision >= record.revision:
+            return
+        self.records[record.lot] = record
+        self.reconcile(record)
+
+    def object_removed(self, object: StoredObject) -> None:
+        """Forget a lot that was collected."""
+        if not object.name.startswith(LOT_PREFIX):
+            return
+        lot = object.name[len(LOT_PREFIX) :]
+        self.records.pop(lot, None)
+        self.logs.pop(lot, None)
+        self.stop_run(lot, "removed")
+
+    def reconcile(self, record: BatchRecord) -> None:
+        """Start or stop a lot here as its record says."""
+        mine = record.owner == self.host and not record.ended and not self.leaving
+        running = record.lot in self.scheduler.runs or record.lot in self.starting
+        if mine and not running:
+            task = asyncio.get_running_loop().create_task(self.start_run(record))
+            self.starting[record.lot] = task
+        elif running and not mine:
+            self.stop_run(record.lot, "ended" if record.ended else f"owned by {record.owner}")
+
+    # Runs
+
+    async def start_run(self, record: BatchRecord) -> None:
+        """Start a lot here once its route is known."""
+        try:
+            run = await self.make_run(record)
+            if run is None:
+                return
+            self.scheduler.runs[record.lot] = run
+            await run.start(self.kept)
+            log_event(
+                events.BATCH_TAKEN,
+                lot=record.lot,
+                listed=len(run.log.results),
+                items=len(run.states),
+                reason="owner in the store",
+                former_owner=record.owner,
+                revision=record.revision,
+            )
+        finally:
+            self.starting.pop(record.lot, None)
+
+    async def make_run(self, record: BatchRecord) -> BatchRun | None:
+        """Return a run of a lot, None if it cannot be read."""
+        try:
+            spec = decode_submission(record.lot, record.host, record.path, record.document)
+        except DecodeError as error:
+            log_event(events.STORE_OBJECT_UNREADABLE, kind=OWN_KIND, problem=str(error))
+            return None
+        loop = asyncio.get_running_loop()
+        while True:
+            configuration = self.configuration()
+            route = None
+            if configuration is not None:
+                route = configuration.find_route(record.host, record.path)
+            if route is not None:
+                break
+            await asyncio.sleep(START_RETRY_S)
+        return BatchRun(
+            spec=spec,
+            route=route,
+            log=self.log_of(record.lot),
+            pool=self.pool,
+            scorer_calls=self.scorer_calls,
+            submitted_at=loop.time() - record.age_s(),
+            on_wake=self.scheduler.wake,
+            tokens_per_event=configuration.tokens_per_event(route),
+        )
+
+    def stop_run(self, lot: str, reason: str) -> None:
+        """Stop a lot here and keep the text of its unlisted items."""
+        task = self.starting.pop(lot, None)
+        if task is not None:
+            task.cancel()
+        run = self.scheduler.runs.pop(lot, None)
+        if run is None:
+            return
+        self.keep(run.progress_so_far())
+        run.stop(reason)
+        self.scheduler.wake()
+
+    def keep(self, progress: dict[str, Progress]) -> None:
+        """Keep text that another lot, or another owner of the lot, may go on from."""
+        self.kept.update(progress)
+        while len(self.kept) > KEPT_PROGRESS:
+            del self.kept[next(iter(self.kept))]
+
+    def log_of(self, lot: str) -> BatchLog:
+        """Return the log of a lot; there is one a process."""
+        log = self.logs.get(lot)
+        if log is None:
+            log = BatchLog(self.client, lot, f"{self.host}/{self.incarnation}")
+            self.logs[lot] = log
+        return log
+
+    def owned(self) -> list[BatchRecord]:
+        """Return the lots that this host runs and that are not finished."""
+        found = []
+        for lot, run in self.scheduler.runs.items():
+            if lot in self.records and not run.is_finished():
+                found.append(self.records[lot])
+        return found
+
+    # Writes
+
+    async def write_status(
+        self, lot: str, owner: str | None = None, ended: bool | None = None, timeout_s: float = 3.0
+    ) -> BatchRecord | None:
+        """Change a lot's owner or end it; return the record, or None if there is no such lot.
+
+        Raises
+        ------
+        MetadataError
+            If the store did not answer in time.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + timeout_s
+        record = self.records.get(lot) or await self.fetch(lot)
+        while record is not None:
+            status = record.status(owner, ended)
+            if status == record.status():
+                return record
+            try:
+                object = await self.client.set_status(
+                    OWN_KIND, lot_name(lot), status, record.revision, give_up_at
+                )
+            except Conflict as conflict:
+                if conflict.current is None:
+                    return None
+                former = record
+                record = self.take(conflict.current)
+                if owner is not None and record.owner != former.owner:
+                    # Another process was first to take the lot.
+                    return record
+                continue
+            return self.take(object)
+        return None
+
+    def take(self, object: StoredObject) -> BatchRecord:
+        """Take an object that a call returned and return its record."""
+        self.object_changed(object)
+        return read_record(object)
+
+    async def fetch(self, lot: str) -> BatchRecord | None:
+        """Read a lot from the store; None means that there is none."""
+        object = await self.client.get(OWN_KIND, lot_name(lot))
+        return None if object is None else self.take(object)
+
+    async def collect(self, lot: str) -> None:
+        """Remove a lot whose lifetime is over."""
+        objects, _ = await self.client.list_all(segment_kind(lot))
+        for object in objects:
+            await self.client.delete(segment_kind(lot), object.name)
+        await self.client.delete(OWN_KIND, lot_name(lot))
+        log_event(events.LOT_COLLECTED, lot=lot)
+
+    # Reading
+
+    def local_results(self, lot: str) -> tuple[list[ItemResult], asyncio.Event] | None:
+        """Return the results of a lot that is run here, and an event set by the next ones."""
+        run = self.scheduler.runs.get(lot)
+        if run is None or not run.loaded:
+            return None
+        return run.log.results, run.listed_changed
+
+    async def stored_results(self, lot: str, after: int) -> list[ItemResult]:
+        """Return the results of a lot from the store, read again if they end at a position."""
+        log = self.log_of(lot)
+        if len(log.results) <= after:
+            await log.load()
+        return log.results
--- /dev/null
+++ b/turmericreach/batches/run.py
@@ -0,0 +1,457 @@
+"""A lot that this process runs."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import attrs
+
+from turmericreach.batches.item_run import ItemBounds, ItemOutcome, RunReport, run_item
+from turmericreach.batches.log import BatchLog, LogTaken
+from turmericreach.batches.model import BatchItem, BatchSpec, ItemResult, Progress
+from turmericreach.batches.scoring import ScorerCalls
+from turmericreach.http1 import ConnectionPool
+from turmericreach.metadata import MetadataError
+from turmericreach.placement import WaitingItem
+from turmericreach.services import Route, Target
+from turmericreach.telemetry import log_event
+from turmericreach.telemetry import node_events as events
+
+__all__ = ["BatchRun", "ItemPhase", "ItemState"]
+
+# Results wait this long for others of their group, so that fewer objects are written.
+GROUPING_S = 0.4
+# Results of a complete group wait for those that end at the same moment.
+COMPLETE_GROUP_S = 0.05
+# After a run that was broken off, so that a failing engine is not asked in a tight loop.
+RETRY_PAUSE_S = 0.1
+REFUSED_PAUSE_S = 0.1
+SUSPECT_S = 3.0
+LOAD_RETRY_S = 0.2
+
+
+class ItemPhase(enum.StrEnum):
+    """Where an item is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    SCORING = "scoring"
+    READY = "ready"
+    LISTED = "listed"
+
+
+@attrs.define(eq=False)
+class ItemState:
+    """State of an item.
+
+    Attributes
+    ----------
+    item : BatchItem
+        The item.
+    phase : ItemPhase
+        Where it is.
+    progress : Progress
+        What has been generated.
+    failures : int
+        Runs that the engine answered with a failure.
+    not_before : float
+        Loop time before which it is not tried again.
+    waiting_since : float
+        Loop time since which it has waited.
+    refused_by : dict of str to float
+        Engines that refused it, with the loop time until which they are left out.
+    """
+
+    item: BatchItem
+    phase: ItemPhase = ItemPhase.WAITING
+    progress: Progress = attrs.field(factory=Progress)
+    failures: int = 0
+    not_before: float = 0.0
+    waiting_since: float = 0.0
+    refused_by: dict[str, float] = attrs.field(factory=dict)
+
+
+class BatchRun:
+    """Runs the items of a lot and lists their results.
+
+    Attributes
+    ----------
+    spec : BatchSpec
+        The lot.
+    route : Route
+        Its route.
+    log : BatchLog
+        Results that are durable.
+    states : dict of str to ItemState
+        State by item.
+    """
+
+    def __init__(
+        self,
+        spec: BatchSpec,
+        route: Route,
+        log: BatchLog,
+        pool: ConnectionPool,
+        scorer_calls: ScorerCalls,
+        submitted_at: float,
+        on_wake: Callable[[], None],
+        tokens_per_event: float = 1.0,
+    ):
+        self.spec = spec
+        self.route = route
+        self.log = log
+        self.pool = pool
+        self.scorer_calls = scorer_calls
+        self.submitted_at = submitted_at
+        self.on_wake = on_wake
+        self.tokens_per_event = tokens_per_event
+        self.loop = asyncio.get_running_loop()
+        self.states = {item.id: ItemState(item) for item in spec.items}
+        self.group_sizes: dict[str, int] = {}
+        for item in spec.items:
+            self.group_sizes[item.group] = self.group_sizes.get(item.group, 0) + 1
+        self.ready: list[ItemResult] = []
+        self.ready_since = 0.0
+        self.ready_changed = asyncio.Event()
+        self.listed_changed = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+        self.writer: asyncio.Task | None = None
+        self.loaded = False
+        self.stopped = False
+
+    # Life
+
+    async def start(self, known: dict[str, Progress]) -> None:
+        """Read what is listed already, then let the items wait for engines.
+
+        Parameters
+        ----------
+        known : dict of str to Progress
+            Text of items that was generated before, here or for an earlier lot.
+        """
+        while not self.loaded:
+            try:
+                await self.log.load()
+                self.loaded = True
+            except MetadataError:
+                # The client logs a store that is away.
+                await asyncio.sleep(RETRY_PAUSE_S)
+        now = self.loop.time()
+        for state in self.states.values():
+            state.waiting_since = now
+            self.adopt(state, known.get(state.item.id))
+        self.mark_listed()
+        self.writer = self.loop.create_task(self.write_results())
+        self.on_wake()
+
+    def adopt(self, state: ItemState, progress: Progress | None) -> None:
+        """Go on from text that was generated before, if the lot's bounds allow it."""
+        if progress is None or state.item.id in self.log.listed:
+            return
+        if not progress.fits(self.spec.min_version, self.route.single_version):
+            return
+        state.progress = progress
+        if progress.whole:
+            self.begin_scoring(state)
+
+    def stop(self, reason: str) -> None:
+        """End all work on the lot; engines drop the requests as their connections close."""
+        if self.stopped:
+            return
+        self.stopped = True
+        for task in list(self.tasks):
+            task.cancel()
+        if self.writer is not None:
+            self.writer.cancel()
+        self.listed_changed.set()
+        log_event(events.BATCH_LEFT, lot=self.spec.id, reason=reason)
+
+    def is_finished(self) -> bool:
+        """Return whether all items are listed."""
+        return len(self.log.results) >= len(self.states)
+
+    def mark_listed(self) -> None:
+        """Take over from the log which items are listed."""
+        for item_id in self.log.listed:
+            state = self.states.get(item_id)
+            if state is not None:
+                state.phase = ItemPhase.LISTED
+
+    # Placement
+
+    def waiting_items(self, now: float) -> list[WaitingItem]:
+        """Return the items that may start now."""
+        if self.stopped or not self.loaded:
+            return []
+        found = []
+        for state in self.states.values():
+            if state.phase is not ItemPhase.WAITING or now < state.not_before:
+                continue
+            if self.give_up_if_late(state, now):
+                continue
+            found.append(self.waiting_item(state, now))
+        return found
+
+    def waiting_item(self, state: ItemState, now: float) -> WaitingItem:
+        """Return an item as placement sees it."""
+        item = state.item
+        refused = [target for target, until in state.refused_by.items() if now < until]
+        return WaitingItem(
+            lot=self.spec.id,
+            item=item.id,
+            model=self.spec.model,
+            min_version=self.spec.min_version,
+            group=item.group,
+            carried=False,
+            remaining_events=self.remaining_events(state),
+            due_at=self.submitted_at + self.route.due_s,
+            priority=self.route.priority,
+            excluded=frozenset(refused),
+        )
+
+    def remaining_events(self, state: ItemState) -> float:
+        """Return the expected number of events that are still to be made."""
+        expected = state.item.expected_tokens / self.tokens_per_event
+        return max(expected - len(state.progress.events), 1.0)
+
+    def give_up_if_late(self, state: ItemState, now: float) -> bool:
+        """Give up an item whose lifetime is over."""
+        if now < self.submitted_at + self.route.item_lifetime_s:
+            return False
+        self.give_up(state, "its lifetime is over")
+        return True
+
+    def begin(self, item_id: str, target: Target) -> None:
+        """Start an item at a target."""
+        state = self.states[item_id]
+        state.phase = ItemPhase.RUNNING
+        target.in_flight += 1
+        target.groups.add(state.item.group)
+        log_event(
+            events.ITEM_STARTED,
+            item=item_id,
+            lot=self.spec.id,
+            target=target.id,
+            resumed_after=state.progress.last_event_id,
+            version=target.model_versions.get(self.spec.model),
+            in_flight=target.in_flight,
+            waited_s=round(self.loop.time() - state.waiting_since, 3),
+        )
+        self.spawn(self.run_once(state, target))
+
+    async def run_once(self, state: ItemState, target: Target) -> None:
+        """Run an item once and decide how it goes on."""
+        began = self.loop.time()
+        bounds = ItemBounds(
+            host=self.spec.host,
+            model=self.spec.model,
+            min_version=self.spec.min_version,
+            single_version=self.route.single_version,
+            time_left_s=self.submitted_at + self.route.item_lifetime_s - began,
+        )
+        report = RunReport(ItemOutcome.BROKEN, "stopped")
+        try:
+            report = await run_item(state.item, state.progress, target, bounds, self.pool)
+        finally:
+            target.in_flight -= 1
+            log_event(
+                events.ITEM_STOPPED,
+                item=state.item.id,
+                lot=self.spec.id,
+                target=target.id,
+                outcome=f"{report.outcome} {report.detail}".strip(),
+                ms=(self.loop.time() - began) * 1000,
+                events=len(state.progress.events),
+                versions=str(state.progress.versions),
+            )
+        self.take_report(state, target, report)
+        self.on_wake()
+
+    def take_report(self, state: ItemState, target: Target, report: RunReport) -> None:
+        """Decide how an item goes on after a run."""
+        now = self.loop.time()
+        state.phase = ItemPhase.WAITING
+        state.waiting_since = now
+        outcome = report.outcome
+        if outcome is ItemOutcome.WHOLE:
+            target.failures = 0
+            self.begin_scoring(state)
+        elif outcome is ItemOutcome.NOT_RUN:
+            state.refused_by[target.id] = now + REFUSED_PAUSE_S
+            if report.detail.startswith("no connection"):
+                self.suspect(target, report.detail, now)
+            else:
+                target.loading_until = max(target.loading_until, now + LOAD_RETRY_S)
+        elif outcome is ItemOutcome.OLD_VERSION:
+            state.refused_by[target.id] = now + LOAD_RETRY_S
+        elif outcome is ItemOutcome.IMPOSSIBLE:
+            self.give_up(state, f"{target.id} cannot run it: {report.detail}")
+        elif outcome is ItemOutcome.FAILED:
+            state.failures += 1
+            state.not_before = now + RETRY_PAUSE_S
+            if state.failures >= self.route.max_attempts:
+                self.give_up(state, f"{state.failures} runs failed")
+        else:
+            state.not_before = now + RETRY_PAUSE_S
+            state.refused_by[target.id] = now + SUSPECT_S
+            self.suspect(target, report.detail, now)
+
+    def suspect(self, target: Target, reason: str, now: float) -> None:
+        """Avoid a target for a while."""
+        target.failures += 1
+        target.suspect_until = now + SUSPECT_S
+        log_event(
+            events.TARGET_SUSPECTED,
+            target=target.id,
+            seconds=SUSPECT_S,
+            reason=reason,
+            failures=target.failures,
+        )
+
+    # Results
+
+    def begin_scoring(self, state: ItemState) -> None:
+        """Score a text that is complete, or make it a result if there is nothing to score."""
+        state.phase = ItemPhase.SCORING
+        if state.item.scorer is None or state.progress.score:
+            self.complete(state)
+            return
+        self.spawn(self.score(state))
+
+    async def score(self, state: ItemState) -> None:
+        """Get the score of an item."""
+        result = await self.scorer_calls.score(self.spec.id, state.item.id, state.item.scorer)
+        if not result.stamp:
+            self.give_up(state, "its scorer failed")
+            return
+        state.progress.score = result.stamp
+        self.complete(state)
+
+    def complete(self, state: ItemState) -> None:
+        """Make a complete text a result."""
+        progress = state.progress
+        self.add_ready(
+            state,
+            ItemResult(
+                item=state.item.id,
+                completed=True,
+                text="\n".join(progress.events),
+                versions=list(progress.versions),
+                score=progress.score,
+            ),
+        )
+
+    def give_up(self, state: ItemState, reason: str) -> None:
+        """List an item as abandoned."""
+        log_event(events.ITEM_ABANDONED, item=state.item.id, lot=self.spec.id, reason=reason)
+        self.add_ready(state, ItemResult(state.item.id, completed=False))
+
+    def add_ready(self, state: ItemState, result: ItemResult) -> None:
+        """Hand a result to the writer."""
+        state.phase = ItemPhase.READY
+        if not self.ready:
+            self.ready_since = self.loop.time()
+        self.ready.append(result)
+        self.ready_changed.set()
+
+    def completes_group(self) -> bool:
+        """Return whether the results that wait make a group complete."""
+        done: dict[str, int] = {}
+        for state in self.states.values():
+            if state.phase in (ItemPhase.READY, ItemPhase.LISTED):
+                done[state.item.group] = done.get(state.item.group, 0) + 1
+        for result in self.ready:
+            group = self.states[result.item].item.group
+            if done.get(group) == self.group_sizes[group]:
+                return True
+        return False
+
+    async def write_results(self) -> None:
+        """Write results as they become ready."""
+        while not self.is_finished():
+            await self.ready_changed.wait()
+            self.ready_changed.clear()
+            if not self.ready:
+                continue
+            await self.wait_for_group()
+            batch, self.ready = self.ready, []
+            for part in self.log.split(batch):
+                await self.write_part(part)
+        log_event(
+            events.BATCH_FINISHED,
+            lot=self.spec.id,
+            items=len(self.states),
+            seconds=self.loop.time() - self.submitted_at,
+        )
+
+    async def wait_for_group(self) -> None:
+        """Wait until a group is complete or the oldest result has waited long enough."""
+        while not self.completes_group():
+            left_s = self.ready_since + GROUPING_S - self.loop.time()
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.ready_changed.wait()
+            except TimeoutError:
+                return
+            self.ready_changed.clear()
+        await asyncio.sleep(COMPLETE_GROUP_S)
+
+    async def write_part(self, results: list[ItemResult]) -> None:
+        """Write results until they are durable; drop those that another process has listed."""
+        began = self.loop.time()
+        while True:
+            try:
+                added = await self.log.append(results)
+                break
+            except LogTaken:
+                await self.reload()
+            except MetadataError:
+                await asyncio.sleep(RETRY_PAUSE_S)
+        self.mark_listed()
+        self.listed_changed.set()
+        self.listed_changed = asyncio.Event()
+        log_event(
+            events.RESULTS_LISTED,
+            lot=self.spec.id,
+            total=len(self.log.results),
+            items=len(self.states),
+            added=added,
+            segment=self.log.segments,
+            ms=round((self.loop.time() - began) * 1000),
+        )
+
+    async def reload(self) -> None:
+        """Read what another process has listed."""
+        while True:
+            try:
+                await self.log.load()
+                return
+            except MetadataError:
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    def progress_so_far(self) -> dict[str, Progress]:
+        """Return the text of items that are not listed."""
+        found = {}
+        for state in self.states.values():
+            if state.phase is ItemPhase.LISTED or not state.progress.events:
+                continue
+            found[state.item.id] = state.progress
+        return found
+
+    def spawn(self, coroutine) -> None:
+        """Run a coroutine that ends with the lot."""
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_done)
+
+    def task_done(self, task: asyncio.Task) -> None:
+        """Forget a task; log an unexpected end."""
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        log_event(
+            events.TASK_FAILED, task=f"lot {self.spec.id}", error=f"{type(error).__name__}: {error}"
+        )
--- /dev/null
+++ b/turmericreach/http1/__init__.py
@@ -0,0 +1,28 @@
+"""HTTP/1.1 at protocol level, for servers and clients that pass requests on."""
+
+from turmericreach.http1.client import (
+    ClientConnection,
+    ConnectFailed,
+    ResponseHead,
+    ResponseIncomplete,
+    connect,
+)
+from turmericreach.http1.headers import Headers, query_value, split_target
+from turmericreach.http1.pool import ConnectionPool
+from turmericreach.http1.server import HttpServer, Request, Responder, ServerLimits
+
+__all__ = [
+    "ClientConnection",
+    "ConnectFailed",
+    "ConnectionPool",
+    "Headers",
+    "HttpServer",
+    "Request",
+    "Responder",
+    "ResponseHead",
+    "ResponseIncomplete",
+    "ServerLimits",
+    "connect",
+    "query_value",
+    "split_target",
+]
--- /dev/null
+++ b/turmericreach/http1/headers.py
@@ -0,0 +1,92 @@
+"""Header fields and request targets."""
+
+from collections.abc import Iterable, Iterator
+from urllib.parse import parse_qsl
+
+__all__ = ["CONNECTION_HEADERS", "Headers", "encode_headers", "query_value", "split_target"]
+
+# Fields that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+class Headers:
+    """Header fields in their order, looked up without regard to case.
+
+    Attributes
+    ----------
+    fields : list of tuple of str
+        Names as received and values.
+    """
+
+    def __init__(self, fields: Iterable[tuple[str, str]] = ()):
+        self.fields = list(fields)
+        self.first: dict[str, str] = {}
+        for name, value in self.fields:
+            self.first.setdefault(name.lower(), value)
+
+    def __iter__(self) -> Iterator[tuple[str, str]]:
+        return iter(self.fields)
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the first value of a field."""
+        return self.first.get(name.lower(), default)
+
+    def number(self, name: str) -> float | None:
+        """Return a field as a finite number that is not negative, or None."""
+        text = self.get(name)
+        if text is None:
+            return None
+        try:
+            value = float(text)
+        except ValueError:
+            return None
+        return value if 0 <= value < float("inf") else None
+
+    def tokens(self, name: str) -> set[str]:
+        """Return the comma-separated tokens of all fields of a name, in lower case."""
+        wanted = name.lower()
+        found = set()
+        for field, value in self.fields:
+            if field.lower() != wanted:
+                continue
+            found.update(token.strip().lower() for token in value.split(","))
+        return found - {""}
+
+    def end_to_end(self) -> list[tuple[str, str]]:
+        """Return the fields that are passed on to the next hop."""
+        dropped = CONNECTION_HEADERS | self.tokens("connection")
+        return [field for field in self.fields if field[0].lower() not in dropped]
+
+
+def encode_headers(start_line: str, fields: Iterable[tuple[str, str]]) -> bytes:
+    """Return the bytes of a message head."""
+    lines = [start_line]
+    for name, value in fields:
+        lines.append(f"{name}: {value}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Return the path and the query of a request target."""
+    path, _, query = target.partition("?")
+    return path, query
+
+
+def query_value(query: str, name: str) -> str | None:
+    """Return the first value of a query parameter."""
+    for key, value in parse_qsl(query, keep_blank_values=True):
+        if key == name:
+            return value
+    return None
--- /dev/null
+++ b/turmericreach/metadata/__init__.py
@@ -0,0 +1,31 @@
+"""The platform's metadata store: one client, and mirrors of kinds of objects."""
+
+from turmericreach.metadata.client import MetadataClient
+from turmericreach.metadata.mirror import KindMirror
+from turmericreach.metadata.objects import (
+    Conflict,
+    HistoryGone,
+    MetadataError,
+    NotFound,
+    ObjectChange,
+    ObjectPage,
+    OutcomeUnknown,
+    StoredObject,
+    Unavailable,
+    WatchPage,
+)
+
+__all__ = [
+    "Conflict",
+    "HistoryGone",
+    "KindMirror",
+    "MetadataClient",
+    "MetadataError",
+    "NotFound",
+    "ObjectChange",
+    "ObjectPage",
+    "OutcomeUnknown",
+    "StoredObject",
+    "Unavailable",
+    "WatchPage",
+]
--- /dev/null
+++ b/turmericreach/node/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that run on the hosts of the platform."""
--- /dev/null
+++ b/turmericreach/node/settings.py
@@ -0,0 +1,86 @@
+"""Settings of one process."""
+
+import attrs
+
+__all__ = ["NodeSettings", "StoreSettings", "Timings"]
+
+
+@attrs.frozen
+class StoreSettings:
+    """How the metadata store is reached and how much it takes.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port``.
+    writes_per_s, reads_per_s : float
+        Calls a second that all processes may make together.
+    value_bytes : int
+        Largest object.
+    """
+
+    address: str
+    writes_per_s: float
+    reads_per_s: float
+    value_bytes: int
+
+
+@attrs.frozen
+class Timings:
+    """Times of the deployment, in seconds.
+
+    Attributes
+    ----------
+    grace_s : float
+        From a request to stop until the process is killed.
+    lease_s : float
+        After the last order of one order giver until another may order.
+    drain_s : float
+        After a target is listed as draining until it takes no more requests.
+    result_lifetime_s : float
+        After its submission for which a lot's results are kept.
+    heartbeat_s : float
+        Between a target's updates of its entry.
+    """
+
+    grace_s: float = 8.0
+    lease_s: float = 3.0
+    drain_s: float = 2.0
+    result_lifetime_s: float = 120.0
+    heartbeat_s: float = 1.2
+
+
+@attrs.frozen
+class NodeSettings:
+    """Settings of one process.
+
+    Attributes
+    ----------
+    host : str
+        Name of the machine.
+    role : str
+        Name of the role in the deploy file.
+    data_centre : str
+        Where the machine is.
+    ip : str
+        Its address.
+    caller_address, ready_address : str
+        ``ip:port`` for callers and for the ready check; empty where the role has none.
+    peer_port, metrics_port : int
+        Ports for calls between processes and for metrics.
+    store : StoreSettings
+        The metadata store.
+    timings : Timings
+        Times of the deployment.
+    """
+
+    host: str
+    role: str
+    data_centre: str
+    ip: str
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    store: StoreSettings
+    timings: Timings = Timings()
--- /dev/null
+++ b/turmericreach/platform/documents.py
@@ -0,0 +1,183 @@
+"""What operators, trainers and targets write to the store."""
+
+from typing import Any
+
+import attrs
+
+from turmericreach.metadata.objects import StoredObject
+from turmericreach.platform.decoding import DecodeError, Fields
+from turmericreach.services.configuration import (
+    Configuration,
+    EngineLimits,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+    normalize_host,
+)
+from turmericreach.services.target import TargetRecord
+
+__all__ = [
+    "RetirementRequest",
+    "VersionNamed",
+    "decode_configuration",
+    "decode_retirement",
+    "decode_target",
+    "decode_version",
+    "retirement_done",
+]
+
+MS = 1000.0
+
+KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAMING,
+    "rollout": RouteKind.BATCH,
+    "batch": RouteKind.BATCH,
+}
+
+
+@attrs.frozen
+class VersionNamed:
+    """A version of a model's weights that a trainer wants in use."""
+
+    model: str
+    version: int
+
+
+@attrs.frozen
+class RetirementRequest:
+    """A host with a disk that is to be emptied."""
+
+    host: str
+    done: bool
+
+
+def decode_configuration(spec: Any) -> Configuration:
+    """Return the configuration of an operator's object."""
+    fields = Fields(spec)
+    routes = []
+    for index, value in enumerate(fields.list("routes", [])):
+        routes.append(decode_route(Fields(value, f"routes[{index}]")))
+    services = {}
+    for index, value in enumerate(fields.list("services", [])):
+        service = decode_service(Fields(value, f"services[{index}]"))
+        services[service.name] = service
+    limits = fields.object("limits", {})
+    return Configuration(
+        version=fields.integer("version"),
+        routes=tuple(routes),
+        services=services,
+        limits=RequestLimits(
+            header_bytes=limits.integer("maxHeaderBytes", 16_384),
+            body_bytes=limits.integer("maxBodyBytes", 32 << 20),
+            header_timeout_s=limits.number("headerTimeoutMs", 3000) / MS,
+            idle_timeout_s=limits.number("idleTimeoutMs", 15_000) / MS,
+        ),
+    )
+
+
+def decode_route(fields: Fields) -> Route:
+    """Return a route."""
+    kind = fields.text("kind", "unsafe")
+    parts = []
+    for value in fields.list("split", []):
+        part = Fields(value, fields.place("split"))
+        parts.append(WeightedService(part.text("service"), part.number("weight", 1)))
+    if not parts:
+        parts.append(WeightedService(fields.text("service"), 1.0))
+    timeout_s = fields.number("timeoutMs", 30_000) / MS
+    return Route(
+        name=fields.text("name"),
+        host=normalize_host(fields.text("host")),
+        path_prefix=fields.text("pathPrefix"),
+        # A kind that is not known is run once at most.
+        kind=KINDS.get(kind, RouteKind.UNSAFE),
+        services=tuple(parts),
+        timeout_s=timeout_s,
+        objective_s=fields.number("goalMs", 1000) / MS,
+        max_attempts=max(fields.integer("maxAttempts", 2), 1),
+        priority=fields.integer("priority", 0),
+        resumable=fields.boolean("resumable", False),
+        single_version=fields.boolean("singleVersion", False),
+        due_s=fields.number("dueMs", 10_000) / MS,
+        item_lifetime_s=fields.number("queueTtlS", 60),
+    )
+
+
+def decode_service(fields: Fields) -> Service:
+    """Return a service."""
+    engine = None
+    if fields.value.get("engine") is not None:
+        engine = decode_engine(fields.object("engine"))
+    return Service(
+        name=fields.text("name"),
+        health_path=fields.text("healthPath", "/health"),
+        max_connections=fields.integer("maxConns", 100),
+        engine=engine,
+    )
+
+
+def decode_engine(fields: Fields) -> EngineLimits:
+    """Return the limits of a service's engines."""
+    models = []
+    for value in fields.list("models", []):
+        models.append(Fields(value, fields.place("models")).text("name"))
+    return EngineLimits(
+        slots=fields.integer("slots", 1),
+        memory_tokens=fields.integer("kvCapacityTokens", 1 << 40),
+        models=tuple(models),
+        tokens_per_event=fields.number("stride", 1.0),
+    )
+
+
+def decode_target(object: StoredObject) -> TargetRecord:
+    """Return a target's entry.
+
+    Raises
+    ------
+    DecodeError
+        If it names no target to use.
+    """
+    fields = Fields(object.spec)
+    state = fields.text("state")
+    if state not in ("ready", "draining"):
+        raise DecodeError(f"state: unexpected {state!r}")
+    versions = {}
+    for value in fields.list("models", []):
+        model = Fields(value, "models")
+        versions[model.text("name")] = model.integer("version")
+    address = fields.text("address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise DecodeError(f"address: unexpected {address!r}")
+    return TargetRecord(
+        id=object.name,
+        started_ms=fields.integer("born", 0),
+        service=fields.text("service"),
+        address=address,
+        data_centre=fields.text("zone", ""),
+        slots=max(fields.integer("slots", 1), 1),
+        draining=state == "draining",
+        model_versions=versions,
+        orders_accepted=fields.integer("seq", 0),
+    )
+
+
+def decode_version(object: StoredObject) -> VersionNamed:
+    """Return the version that a trainer named."""
+    fields = Fields(object.spec)
+    return VersionNamed(fields.text("model", object.name), fields.integer("version"))
+
+
+def decode_retirement(object: StoredObject) -> RetirementRequest:
+    """Return a request to empty a host."""
+    status = object.status if isinstance(object.status, dict) else {}
+    return RetirementRequest(object.name, status.get("state") == "completed")
+
+
+def retirement_done() -> dict[str, str]:
+    """Return the status of a host that holds nothing more."""
+    return {"state": "completed"}
--- /dev/null
+++ b/turmericreach/platform/lots.py
@@ -0,0 +1,170 @@
+"""Lots as callers submit and read them."""
+
+import base64
+import binascii
+import re
+from typing import Any
+
+import msgspec
+
+from turmericreach.batches.model import BatchItem, BatchSpec, ItemResult, Scorer
+from turmericreach.http1 import query_value
+from turmericreach.platform.decoding import DecodeError, Fields
+from turmericreach.platform.names import ITEMS_PATH, LENGTH_HINT, LOTS_PATH, TOKEN_COUNTS, WAIT_MS
+
+__all__ = [
+    "decode_submission",
+    "encode_results",
+    "is_lot_id",
+    "item_call",
+    "lot_call",
+    "read_position",
+    "read_wait_s",
+]
+
+MAX_ITEMS = 20_000
+FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+PATH = re.compile(r"/[\x21-\x7e]*")
+LOT_ID = re.compile(r"[A-Za-z0-9_-]{1,128}")
+# A read waits for a result this long at most.
+MAX_WAIT_S = 5.0
+
+
+def is_lot_id(text: str) -> bool:
+    """Return whether a text may name a lot."""
+    return LOT_ID.fullmatch(text) is not None
+
+
+def lot_call(path: str) -> str | None:
+    """Return the lot that a path reads or ends, or None for another path."""
+    return path[len(LOTS_PATH) :] if path.startswith(LOTS_PATH) else None
+
+
+def item_call(path: str) -> str | None:
+    """Return the lot whose item's body a path reads, or None for another path."""
+    return path[len(ITEMS_PATH) :] if path.startswith(ITEMS_PATH) else None
+
+
+def read_position(query: str) -> int:
+    """Return the first position that a read asks for."""
+    text = query_value(query, "after") or "0"
+    if not text.isdigit():
+        raise DecodeError(f"after: unexpected {text!r}")
+    return int(text)
+
+
+def read_wait_s(headers) -> float:
+    """Return how long a read may wait for a result."""
+    return min((headers.number(WAIT_MS) or 0.0) / 1000, MAX_WAIT_S)
+
+
+def decode_submission(lot_id: str, host: str, path: str, document: Any) -> BatchSpec:
+    """Return a submitted lot.
+
+    Raises
+    ------
+    DecodeError
+        With the field that is not as agreed.
+    """
+    if not is_lot_id(lot_id):
+        raise DecodeError("the lot has no proper id")
+    fields = Fields(document)
+    values = fields.list("items")
+    if not values or len(values) > MAX_ITEMS:
+        raise DecodeError(f"items: expected 1 to {MAX_ITEMS}")
+    items = []
+    for index, value in enumerate(values):
+        items.append(decode_item(Fields(value, f"items[{index}]")))
+    if len({item.id for item in items}) != len(items):
+        raise DecodeError("items: an id stands twice")
+    return BatchSpec(
+        id=lot_id,
+        host=host,
+        path=path,
+        step=fields.integer("step", 0),
+        model=fields.text("model", ""),
+        min_version=fields.integer("minVersion", 0),
+        target_groups=fields.integer("targetGroups", 0),
+        items=tuple(items),
+    )
+
+
+def decode_item(fields: Fields) -> BatchItem:
+    """Return an item."""
+    headers = []
+    for name, value in fields.get("headers", dict, {}).items():
+        if not FIELD_NAME.fullmatch(name) or not is_field_value(value):
+            raise DecodeError(f"{fields.place('headers')}: {name!r} is no proper field")
+        headers.append((name, value))
+    path = decode_path(fields)
+    item_id = fields.text("id")
+    if not is_lot_id(item_id):
+        raise DecodeError(f"{fields.place('id')}: unexpected {item_id!r}")
+    scorer = None
+    if fields.value.get("scorer") is not None:
+        scorer = decode_scorer(fields.object("scorer"))
+    return BatchItem(
+        id=item_id,
+        path=path,
+        fields=headers,
+        body=decode_base64(fields, "body"),
+        tokens=fields.integer("tokens", 0),
+        group=fields.text("group", item_id),
+        expected_tokens=expected_tokens({name.lower(): value for name, value in headers}),
+        scorer=scorer,
+    )
+
+
+def decode_scorer(fields: Fields) -> Scorer:
+    """Return the call that scores an item."""
+    path = decode_path(fields)
+    return Scorer(fields.text("id"), fields.text("host"), path, decode_base64(fields, "body"))
+
+
+def decode_path(fields: Fields) -> str:
+    """Return a request target."""
+    path = fields.text("path")
+    if not PATH.fullmatch(path):
+        raise DecodeError(f"{fields.place('path')}: unexpected {path!r}")
+    return path
+
+
+def is_field_value(value: Any) -> bool:
+    """Return whether a value may stand in a header field."""
+    return isinstance(value, str) and value.isascii() and (value.isprintable() or not value)
+
+
+def decode_base64(fields: Fields, key: str) -> bytes:
+    """Return the bytes of a base64 field."""
+    try:
+        return base64.b64decode(fields.text(key, ""), validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise DecodeError(f"{fields.place(key)}: no base64") from error
+
+
+def expected_tokens(headers: dict[str, str]) -> float:
+    """Return the estimated output of an item, or its limit where there is no estimate."""
+    hint = headers.get(LENGTH_HINT.lower(), "")
+    try:
+        return max(float(hint), 1.0)
+    except ValueError:
+        counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
+        return float(counts[-1]) if counts[-1].strip().isdigit() else 1.0
+
+
+def encode_results(total: int, after: int, results: list[ItemResult]) -> bytes:
+    """Return the body of a read."""
+    listed = []
+    for result in results:
+        value = {
+            "id": result.item,
+            "state": "completed" if result.completed else "abandoned",
+            "text": result.text,
+            "versions": result.versions,
+        }
+        if result.score:
+            value["score"] = result.score
+        listed.append(value)
+    return msgspec.json.encode(
+        {"total": total, "nextToken": after + len(results), "results": listed}
+    )
--- /dev/null
+++ b/turmericreach/platform/names.py
@@ -0,0 +1,53 @@
+"""Header fields, paths and kinds of objects as the platform spells them."""
+
+__all__ = [
+    "ATTEMPT_ID",
+    "DEADLINE_MS",
+    "EXPECT_INSTANCE",
+    "EXPECT_VERSION",
+    "ITEMS_PATH",
+    "LAST_EVENT_ID",
+    "LENGTH_HINT",
+    "LOTS_PATH",
+    "MODEL",
+    "NOT_EXECUTED",
+    "OBJECTS_PATH",
+    "ORDER_PATH",
+    "PRIORITY",
+    "PROMPT_PREFIX",
+    "READY_PATH",
+    "REPORT_PATH",
+    "RETRY_AFTER",
+    "SERVER_LOAD",
+    "SERVER_STAMP",
+    "SETTINGS_VARIABLE",
+    "TOKEN_COUNTS",
+    "WAIT_MS",
+    "WEIGHT_VERSIONS",
+]
+
+SETTINGS_VARIABLE = "TURMERICREACH_NODE_FILE"
+
+ATTEMPT_ID = "X-Attempt-Id"
+DEADLINE_MS = "X-Deadline-Ms"
+EXPECT_INSTANCE = "X-Expect-Instance"
+EXPECT_VERSION = "X-Expect-Version"
+LAST_EVENT_ID = "Last-Event-Id"
+LENGTH_HINT = "X-Length-Hint"
+MODEL = "X-Model"
+NOT_EXECUTED = "X-Not-Executed"
+PRIORITY = "X-Request-Priority"
+PROMPT_PREFIX = "X-Prompt-Prefix"
+RETRY_AFTER = "Retry-After"
+SERVER_LOAD = "X-Server-Load"
+SERVER_STAMP = "X-Server-Stamp"
+TOKEN_COUNTS = "X-Token-Counts"
+WAIT_MS = "X-Wait-Ms"
+WEIGHT_VERSIONS = "X-Weight-Versions"
+
+READY_PATH = "/api/ready"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+LOTS_PATH = "/api/lots/"
+ITEMS_PATH = "/api/items/"
+OBJECTS_PATH = "/api/objects/"
--- /dev/null
+++ b/turmericreach/platform/settings.py
@@ -0,0 +1,76 @@
+"""The settings file of a process."""
+
+import os
+from pathlib import Path
+
+from turmericreach.node.settings import NodeSettings, StoreSettings, Timings
+from turmericreach.platform.decoding import DecodeError, Fields, decode_json
+from turmericreach.platform.names import SETTINGS_VARIABLE
+
+__all__ = ["load_settings", "settings_path"]
+
+MS = 1000.0
+
+
+def settings_path() -> str:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    DecodeError
+        If the environment names none.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise DecodeError(f"{SETTINGS_VARIABLE}: not set; expected the path of the settings file")
+    return path
+
+
+def load_settings(path: str) -> NodeSettings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    DecodeError
+        With the file, the key and what was expected.
+    """
+    try:
+        fields = Fields(decode_json(Path(path).read_bytes()))
+        return decode_settings(fields)
+    except OSError as error:
+        raise DecodeError(f"{path}: {error.strerror}") from error
+    except DecodeError as error:
+        raise DecodeError(f"{path}: {error}") from error
+
+
+def decode_settings(fields: Fields) -> NodeSettings:
+    """Return the settings; fields that are not known are ignored."""
+    listen = fields.object("listen", {})
+    bounds = fields.object("bounds", {})
+    store = fields.object("platform")
+    ports = fields.list("portRange")
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise DecodeError("portRange: expected the first and the last port")
+    return NodeSettings(
+        host=fields.text("node"),
+        role=fields.text("role", ""),
+        data_centre=fields.text("zone"),
+        ip=fields.text("ip"),
+        caller_address=listen.text("front", ""),
+        ready_address=listen.text("ready", ""),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        store=StoreSettings(
+            address=store.text("address"),
+            writes_per_s=store.number("writesPerS", 400.0),
+            reads_per_s=store.number("readsPerS", 2000.0),
+            value_bytes=store.integer("valueBytes", 1 << 20),
+        ),
+        timings=Timings(
+            grace_s=bounds.number("graceS", 8.0),
+            lease_s=bounds.number("leaseMs", 3000.0) / MS,
+            drain_s=bounds.number("drainMs", 2000.0) / MS,
+            result_lifetime_s=bounds.number("statusS", 120.0),
+            heartbeat_s=fields.number("heartbeatMs", 1200.0) / MS,
+        ),
+    )
--- /dev/null
+++ b/turmericreach/platform/store.py
@@ -0,0 +1,146 @@
+"""Calls to the metadata store and their answers."""
+
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import msgspec
+
+from turmericreach.metadata.objects import ObjectChange, ObjectPage, StoredObject, WatchPage
+from turmericreach.platform.decoding import DecodeError, Fields, decode_json
+from turmericreach.platform.names import OBJECTS_PATH
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
+    "RETIREMENTS_KIND",
+    "TARGETS_KIND",
+    "VERSIONS_KIND",
+    "StoreCall",
+    "create_call",
+    "decode_object_answer",
+    "decode_page_answer",
+    "decode_watch_answer",
+    "delete_call",
+    "get_call",
+    "list_call",
+    "probe_call",
+    "replace_call",
+    "status_call",
+    "watch_call",
+]
+
+TARGETS_KIND = "servers"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+VERSIONS_KIND = "versions"
+RETIREMENTS_KIND = "retirements"
+
+
+@attrs.frozen
+class StoreCall:
+    """A call; `writes` tells whether it may change an object."""
+
+    method: str
+    target: str
+    body: bytes = b""
+    writes: bool = False
+
+
+def path(kind: str, name: str | None = None) -> str:
+    """Return the path of a kind or of an object."""
+    base = OBJECTS_PATH + quote(kind, safe="")
+    return base if name is None else f"{base}/{quote(name, safe='')}"
+
+
+def get_call(kind: str, name: str) -> StoreCall:
+    """Read one object."""
+    return StoreCall("GET", path(kind, name))
+
+
+def probe_call() -> StoreCall:
+    """Read the configuration as it was seconds ago, the cheapest call there is."""
+    return StoreCall("GET", path(CONFIGURATION_KIND, CONFIGURATION_NAME) + "?staleOk=1")
+
+
+def list_call(kind: str, after: str | None) -> StoreCall:
+    """Read a part of a kind's objects, those after a name."""
+    query = "" if after is None else f"?after={quote(after, safe='')}"
+    return StoreCall("GET", path(kind) + query)
+
+
+def watch_call(kind: str, revision: int, wait_s: float) -> StoreCall:
+    """Wait for changes after a revision."""
+    return StoreCall("GET", f"{path(kind)}?watch={revision}&waitMs={int(wait_s * 1000)}")
+
+
+def create_call(kind: str, name: str, spec: Any) -> StoreCall:
+    """Create an object that must not exist."""
+    body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+    return StoreCall("POST", path(kind), body, writes=True)
+
+
+def replace_call(kind: str, name: str, spec: Any, revision: int) -> StoreCall:
+    """Replace an object's spec if its revision is the one given."""
+    body = msgspec.json.encode({"metadata": {"name": name, "revision": revision}, "spec": spec})
+    return StoreCall("PUT", path(kind, name), body, writes=True)
+
+
+def status_call(kind: str, name: str, status: Any, revision: int) -> StoreCall:
+    """Replace an object's status if its revision is the one given."""
+    body = msgspec.json.encode({"metadata": {"name": name, "revision": revision}, "status": status})
+    return StoreCall("PUT", path(kind, name) + "/status", body, writes=True)
+
+
+def delete_call(kind: str, name: str) -> StoreCall:
+    """Remove an object."""
+    return StoreCall("DELETE", path(kind, name), writes=True)
+
+
+def decode_object(kind: str, value: Any) -> StoredObject:
+    """Return an object."""
+    fields = Fields(value)
+    metadata = fields.object("metadata")
+    return StoredObject(
+        kind=kind,
+        name=metadata.text("name"),
+        revision=metadata.integer("revision"),
+        spec=fields.value.get("spec"),
+        status=fields.value.get("status"),
+    )
+
+
+def decode_object_answer(kind: str, body: bytes) -> StoredObject:
+    """Return the object of an answer."""
+    return decode_object(kind, decode_json(body))
+
+
+def decode_page_answer(kind: str, body: bytes) -> tuple[ObjectPage, list[DecodeError]]:
+    """Return a part of a list, and what could not be read of it."""
+    fields = Fields(decode_json(body))
+    objects, problems = [], []
+    for value in fields.list("items"):
+        try:
+            objects.append(decode_object(kind, value))
+        except DecodeError as error:
+            problems.append(error)
+    more = fields.boolean("hasMore", False) and objects
+    page = ObjectPage(objects, fields.integer("storeRevision"), objects[-1].name if more else None)
+    return page, problems
+
+
+def decode_watch_answer(kind: str, body: bytes) -> tuple[WatchPage, list[DecodeError]]:
+    """Return changes, and what could not be read of them."""
+    fields = Fields(decode_json(body))
+    changes, problems = [], []
+    for value in fields.list("events"):
+        try:
+            event = Fields(value)
+            changes.append(
+                ObjectChange(
+                    decode_object(kind, event.value.get("object")), event.boolean("removed", False)
+                )
+            )
+        except DecodeError as error:
+            problems.append(error)
+    return WatchPage(changes, fields.integer("storeRevision")), problems
--- /dev/null
+++ b/turmericreach/services/__init__.py
@@ -0,0 +1,27 @@
+"""Routes, services and the targets that run them."""
+
+from turmericreach.services.configuration import (
+    Configuration,
+    EngineLimits,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from turmericreach.services.directory import TargetDirectory
+from turmericreach.services.target import LoadReport, Target, TargetRecord
+
+__all__ = [
+    "Configuration",
+    "EngineLimits",
+    "LoadReport",
+    "RequestLimits",
+    "Route",
+    "RouteKind",
+    "Service",
+    "Target",
+    "TargetDirectory",
+    "TargetRecord",
+    "WeightedService",
+]
--- a/turmericreach/telemetry/__init__.py
+++ b/turmericreach/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Numbered log events, metrics with a catalogue, and decision traces."""
 
-from turmericreach.telemetry import events
+from turmericreach.telemetry import events, node_events
 from turmericreach.telemetry.catalogue import render_event_catalogue, render_metric_catalogue
 from turmericreach.telemetry.event import Event, EventFieldError, Level
 from turmericreach.telemetry.log import configure_logging, log_event
@@ -20,6 +20,7 @@
     "configure_logging",
     "events",
     "log_event",
+    "node_events",
     "render_event_catalogue",
     "render_metric_catalogue",
 ]
--- a/turmericreach/telemetry/event.py
+++ b/turmericreach/telemetry/event.py
@@ -82,6 +82,13 @@
     "18": "audit",
     "19": "admission",
     "20": "security",
+    "21": "process",
+    "22": "metadata store",
+    "23": "listed targets",
+    "24": "requests",
+    "25": "batches",
+    "26": "orders",
+    "27": "hosts",
 }
 
 
--- a/turmericreach/telemetry/events.py
+++ b/turmericreach/telemetry/events.py
@@ -4,6 +4,7 @@
 """
 
 from turmericreach.telemetry.event import Event, Level, group_events
+from turmericreach.telemetry.node_events import NODE_EVENTS
 
 __all__ = ["CONCERNS"]
 
@@ -359,4 +360,6 @@
     "Check the caller's token and role.",
 )
 
-CONCERNS = group_events([value for value in list(vars().values()) if isinstance(value, Event)])
+CONCERNS = group_events(
+    [*(value for value in list(vars().values()) if isinstance(value, Event)), *NODE_EVENTS]
+)
--- /dev/null
+++ b/turmericreach/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of weights: who orders them, and which target loads what."""
