Divide engines by work and speed, place items by earliest end, hand lots over

Change: engines are divided by expected work and seen speed; items are placed where they end soonest, and late lots group by group; loads wait for a lot's first items; an owner that stops or loses the store gives its lots and their text to a process that takes them by a conditional write. Ruled out: the listing of results, which follows scores within 0.4 s.

--- a/turmericreach/batches/records.py
+++ b/turmericreach/batches/records.py
@@ -29,6 +29,10 @@
         The submission as it was received.
     item_count : int
         Number of its items.
+    model : str
+        Model that generates its items.
+    expected_tokens : float
+        Expected output of all items.
     submitted_ms : int
         Unix milliseconds of its acceptance.
     owner : str
@@ -44,6 +48,8 @@
     path: str
     document: Any
     item_count: int
+    model: str
+    expected_tokens: float
     submitted_ms: int
     owner: str
     ended: bool
@@ -75,6 +81,8 @@
         "host": spec.host,
         "path": spec.path,
         "itemCount": len(spec.items),
+        "model": spec.model,
+        "expectedTokens": sum(item.expected_tokens for item in spec.items),
         "submittedMs": int(time.time() * 1000),
         "owner": owner,
         "token": token,
@@ -91,6 +99,8 @@
         path=object.spec["path"],
         document=object.spec["submission"],
         item_count=object.spec["itemCount"],
+        model=object.spec["model"],
+        expected_tokens=object.spec["expectedTokens"],
         submitted_ms=object.spec["submittedMs"],
         owner=status.get("owner", object.spec["owner"]),
         ended=status.get("ended", False),
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from turmericreach.batches.log import BatchLog, segment_kind
-from turmericreach.batches.model import ItemResult, Progress
+from turmericreach.batches.model import BatchSpec, ItemResult, Progress
 from turmericreach.batches.records import (
     LOT_PREFIX,
     OWN_KIND,
@@ -23,13 +25,21 @@
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-__all__ = ["BatchRegistry"]
+__all__ = ["BatchRegistry", "ModelArrival"]
 
 # Texts of ended lots that may be asked for again are kept for as many items.
 KEPT_PROGRESS = 512
 START_RETRY_S = 0.2
 
 
+@attrs.frozen
+class ModelArrival:
+    """The newest lot of a model: loop time of its arrival here, and its expected tokens."""
+
+    at: float
+    expected_tokens: float
+
+
 class BatchRegistry:
     """Follows the stored lots; runs those whose owner is this host.
 
@@ -39,6 +49,10 @@
         Known lots.
     kept : dict of str to Progress
         Text of items whose lot ended before they were listed.
+    arrivals : dict of str to ModelArrival
+        Newest lot of each model.
+    given : dict of str to int
+        Lots handed to other processes, with the revision at which they were.
     """
 
     def __init__(
@@ -61,8 +75,9 @@
         self.records: dict[str, BatchRecord] = {}
         self.logs: dict[str, BatchLog] = {}
         self.kept: dict[str, Progress] = {}
+        self.arrivals: dict[str, ModelArrival] = {}
         self.starting: dict[str, asyncio.Task] = {}
-        self.leaving = False
+        self.given: dict[str, int] = {}
 
     # Changes in the store
 
@@ -80,21 +95,31 @@
         known = self.records.get(record.lot)
         if known is not None and known.revision >= record.revision:
             return
+        if known is None and not record.ended:
+            self.note_demand(record)
         self.records[record.lot] = record
         self.reconcile(record)
 
+    def note_demand(self, record: BatchRecord) -> None:
+        """Keep when a lot of a model came last, and its expected work."""
+        now = asyncio.get_running_loop().time()
+        self.arrivals[record.model] = ModelArrival(now, record.expected_tokens)
+
     def object_removed(self, object: StoredObject) -> None:
         """Forget a lot that was collected."""
         if not object.name.startswith(LOT_PREFIX):
             return
         lot = object.name[len(LOT_PREFIX) :]
         self.records.pop(lot, None)
+        self.given.pop(lot, None)
         self.logs.pop(lot, None)
         self.stop_run(lot, "removed")
 
     def reconcile(self, record: BatchRecord) -> None:
         """Start or stop a lot here as its record says."""
-        mine = record.owner == self.host and not record.ended and not self.leaving
+        mine = record.owner == self.host and not record.ended
+        if mine and self.given.get(record.lot) == record.revision:
+            return
         running = record.lot in self.scheduler.runs or record.lot in self.starting
         if mine and not running:
             task = asyncio.get_running_loop().create_task(self.start_run(record))
@@ -140,7 +165,7 @@
             if route is not None:
                 break
             await asyncio.sleep(START_RETRY_S)
-        return BatchRun(
+        run = BatchRun(
             spec=spec,
             route=route,
             log=self.log_of(record.lot),
@@ -150,6 +175,17 @@
             on_wake=self.scheduler.wake,
             tokens_per_event=configuration.tokens_per_event(route),
         )
+        run.carried = self.carried_items(spec)
+        return run
+
+    def carried_items(self, spec: BatchSpec) -> frozenset[str]:
+        """Return the items of a lot that stood in an earlier one."""
+        earlier: set[str] = set()
+        for run in self.scheduler.runs.values():
+            if run.spec.id != spec.id:
+                earlier.update(run.states)
+        earlier.update(self.kept)
+        return frozenset(item.id for item in spec.items if item.id in earlier)
 
     def stop_run(self, lot: str, reason: str) -> None:
         """Stop a lot here and keep the text of its unlisted items."""
@@ -163,6 +199,24 @@
         run.stop(reason)
         self.scheduler.wake()
 
+    def release(self, lot: str, reason: str) -> dict[str, Progress]:
+        """Stop running a lot, for another process, and return the text of its unlisted items."""
+        self.given[lot] = self.records[lot].revision
+        run = self.scheduler.runs.pop(lot, None)
+        if run is None:
+            return {}
+        progress = run.progress_so_far()
+        self.keep(progress)
+        run.stop(reason)
+        return progress
+
+    def resume(self, lot: str) -> None:
+        """Run a lot again that no other process has taken."""
+        self.given.pop(lot, None)
+        record = self.records.get(lot)
+        if record is not None:
+            self.reconcile(record)
+
     def keep(self, progress: dict[str, Progress]) -> None:
         """Keep text that another lot, or another owner of the lot, may go on from."""
         self.kept.update(progress)
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -26,6 +26,7 @@
 # After a run that was broken off, so that a failing engine is not asked in a tight loop.
 RETRY_PAUSE_S = 0.1
 REFUSED_PAUSE_S = 0.1
+NO_CONNECTION_PAUSE_S = 0.5
 SUSPECT_S = 3.0
 LOAD_RETRY_S = 0.2
 
@@ -60,6 +61,8 @@
         Loop time since which it has waited.
     refused_by : dict of str to float
         Engines that refused it, with the loop time until which they are left out.
+    target : str
+        Engine at which it runs, or ran last.
     """
 
     item: BatchItem
@@ -69,6 +72,7 @@
     not_before: float = 0.0
     waiting_since: float = 0.0
     refused_by: dict[str, float] = attrs.field(factory=dict)
+    target: str = ""
 
 
 class BatchRun:
@@ -84,6 +88,8 @@
         Results that are durable.
     states : dict of str to ItemState
         State by item.
+    carried : frozenset of str
+        Items that stood in an earlier lot.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         self.submitted_at = submitted_at
         self.on_wake = on_wake
         self.tokens_per_event = tokens_per_event
+        self.carried: frozenset[str] = frozenset()
         self.loop = asyncio.get_running_loop()
         self.states = {item.id: ItemState(item) for item in spec.items}
         self.group_sizes: dict[str, int] = {}
@@ -202,9 +209,10 @@
             model=self.spec.model,
             min_version=self.spec.min_version,
             group=item.group,
-            carried=False,
+            carried=item.id in self.carried,
             remaining_events=self.remaining_events(state),
-            due_at=self.submitted_at + self.route.due_s,
+            group_events=self.group_events(item.group),
+            due_in_s=self.submitted_at + self.route.due_s - now,
             priority=self.route.priority,
             excluded=frozenset(refused),
         )
@@ -214,6 +222,24 @@
         expected = state.item.expected_tokens / self.tokens_per_event
         return max(expected - len(state.progress.events), 1.0)
 
+    def group_events(self, group: str) -> float:
+        """Return the expected number of events that a group still lacks."""
+        total = 0.0
+        for state in self.states.values():
+            if state.item.group != group:
+                continue
+            if state.phase in (ItemPhase.WAITING, ItemPhase.RUNNING):
+                total += self.remaining_events(state)
+        return total
+
+    def running_events(self, target_id: str) -> list[float]:
+        """Return the expected events left of each item that runs at a target."""
+        found = []
+        for state in self.states.values():
+            if state.phase is ItemPhase.RUNNING and state.target == target_id:
+                found.append(self.remaining_events(state))
+        return found
+
     def give_up_if_late(self, state: ItemState, now: float) -> bool:
         """Give up an item whose lifetime is over."""
         if now < self.submitted_at + self.route.item_lifetime_s:
@@ -225,6 +251,7 @@
         """Start an item at a target."""
         state = self.states[item_id]
         state.phase = ItemPhase.RUNNING
+        state.target = target.id
         target.in_flight += 1
         target.groups.add(state.item.group)
         log_event(
@@ -279,6 +306,7 @@
         elif outcome is ItemOutcome.NOT_RUN:
             state.refused_by[target.id] = now + REFUSED_PAUSE_S
             if report.detail.startswith("no connection"):
+                state.refused_by[target.id] = now + NO_CONNECTION_PAUSE_S
                 self.suspect(target, report.detail, now)
             else:
                 target.loading_until = max(target.loading_until, now + LOAD_RETRY_S)
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -4,6 +4,7 @@
 
 from turmericreach.batches.run import BatchRun
 from turmericreach.placement import EngineState, plan_starts
+from turmericreach.placement.engines import DEFAULT_EVENT_S
 from turmericreach.services import Target, TargetDirectory
 
 __all__ = ["ItemScheduler"]
@@ -12,6 +13,8 @@
 TICK_S = 0.1
 # Load told by a target counts for this long.
 LOAD_FRESH_S = 0.5
+# Expected time left of another process's request at a target.
+OTHER_REQUEST_S = 0.5
 
 
 class ItemScheduler:
@@ -46,6 +49,15 @@
             except TimeoutError:
                 continue
 
+    def busy_s(self, target: Target) -> list[float]:
+        """Return the seconds until each item that this process runs at a target ends."""
+        event_s = target.latency_s or DEFAULT_EVENT_S
+        found = []
+        for run in self.runs.values():
+            for events in run.running_events(target.id):
+                found.append(events * event_s)
+        return found
+
     def dispatch(self) -> bool:
         """Start what can start and return whether items are left that wait."""
         now = asyncio.get_running_loop().time()
@@ -59,25 +71,32 @@
             left = left or any(state.phase == "waiting" for state in run.states.values())
         for service, items in by_service.items():
             targets = {target.id: target for target in self.directory.of_service(service)}
-            engines = [engine_state(target, now) for target in targets.values()]
+            engines = [
+                engine_state(target, self.busy_s(target), now) for target in targets.values()
+            ]
             for start in plan_starts(items, engines):
                 self.runs[start.item.lot].begin(start.item.item, targets[start.engine])
         return left
 
 
-def engine_state(target: Target, now: float) -> EngineState:
-    """Return a target as placement sees it."""
+def engine_state(target: Target, busy_s: list[float], now: float) -> EngineState:
+    """Return a target as placement sees it.
+
+    Parameters
+    ----------
+    busy_s : list of float
+        Seconds until each of this process's requests there ends.
+    """
     others = 0
     if target.load is not None and now - target.load.at < LOAD_FRESH_S:
         others = target.others
-    free = target.record.slots - target.in_flight - others
-    if now < target.loading_until:
-        free = 0
     return EngineState(
         id=target.id,
-        free_slots=free,
+        slots=target.record.slots,
+        busy_s=(*busy_s, *[OTHER_REQUEST_S] * others),
         versions=target.model_versions,
         event_s=target.latency_s,
+        ready_in_s=max(target.loading_until - now, 0.0),
         suspect=target.is_suspect(now),
-        groups=target.groups,
+        groups=frozenset(target.groups),
     )
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -10,12 +10,11 @@
 import msgspec
 
 from turmericreach.batches.calls import BatchCalls
-from turmericreach.batches.model import Progress
 from turmericreach.batches.records import LOT_PREFIX, OWN_KIND
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.batches.scoring import ScorerCalls
-from turmericreach.batches.takeover import LotTakeover
+from turmericreach.batches.takeover import HandOver, LotTakeover
 from turmericreach.http1 import ConnectionPool, HttpServer, Request, Responder
 from turmericreach.metadata import KindMirror, MetadataClient, StoredObject
 from turmericreach.node.configuration import ConfigurationHolder
@@ -75,13 +74,19 @@
         self.duty = OrderDuty(settings.host, self.incarnation, self.client, self.peers)
         self.duty.lease_s = settings.timings.lease_s
         self.converger = VersionConverger(
-            settings.host, self.duty, self.directory, self.peers, self.pool
+            settings.host,
+            self.duty,
+            self.directory,
+            self.peers,
+            self.pool,
+            self.registry.arrivals,
         )
         self.takeover = LotTakeover(self.registry, self.peers)
         self.retirements = Retirements(self.duty, self.client)
         self.target_watch = TargetWatch(self.directory, self.client)
         self.mirrors = self.make_mirrors()
         self.peers.mirrors = self.mirrors
+        self.peers.directory = self.directory
         self.callers = HttpServer(self.handle_caller)
         self.ready_checks = HttpServer(self.handle_ready)
         self.peer_calls = HttpServer(self.handle_peer)
@@ -231,7 +236,7 @@
             lots=len(self.registry.owned()),
         )
         self.duty.drop("stopping")
-        await self.takeover.hand_over()
+        await self.takeover.hand_over("stopping")
         stop_at = began + self.settings.timings.grace_s - STOP_MARGIN_S
         while loop.time() < stop_at:
             left_rotation = loop.time() - began >= LEAVE_ROTATION_S
@@ -374,8 +379,10 @@
             self.converger.take_notice(msgspec.json.decode(request.body, type=LoadNotice))
             responder.send(200)
             return
-        if request.path == "/peer/progress":
-            self.registry.keep(msgspec.json.decode(request.body, type=dict[str, Progress]))
-            responder.send(200)
+        if request.path == "/peer/take":
+            taken = await self.takeover.take_from_peer(
+                msgspec.json.decode(request.body, type=HandOver)
+            )
+            responder.send(200 if taken else 409)
             return
         await self.handle_caller(request, responder)
--- a/turmericreach/node/peers.py
+++ b/turmericreach/node/peers.py
@@ -10,6 +10,7 @@
 from turmericreach.batches.records import OWN_KIND
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
 from turmericreach.metadata import Conflict, KindMirror, MetadataClient, MetadataError, StoredObject
+from turmericreach.services import TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -43,6 +44,8 @@
         Whether it is about to stop.
     changes : dict of str to int
         Revision of the newest change that it has seen, by kind of object.
+    event_s : dict of str to float
+        Seconds an event that it has seen at targets.
     """
 
     host: str
@@ -50,6 +53,7 @@
     store_age_s: float
     leaving: bool
     changes: dict[str, int] = attrs.field(factory=dict)
+    event_s: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -107,6 +111,7 @@
         self.peers: dict[str, Peer] = {}
         self.leaving = False
         self.mirrors: dict[str, KindMirror] = {}
+        self.directory: TargetDirectory | None = None
 
     # Registration
 
@@ -157,8 +162,27 @@
             min(self.client.contact_age_s(), 1e9),
             self.leaving,
             {kind: mirror.last_change for kind, mirror in self.mirrors.items()},
+            self.own_event_s(),
         )
 
+    def own_event_s(self) -> dict[str, float]:
+        """Return the seconds an event at the targets that this process uses."""
+        if self.directory is None:
+            return {}
+        found = {}
+        for target in self.directory.targets.values():
+            if target.latency_s and target.model_versions:
+                found[target.id] = round(target.latency_s, 4)
+        return found
+
+    def event_s(self, target_id: str) -> float:
+        """Return the seconds an event that other processes have seen at a target, 0 if none."""
+        found = []
+        for peer in self.peers.values():
+            if peer.status is not None and target_id in peer.status.event_s:
+                found.append(peer.status.event_s[target_id])
+        return sum(found) / len(found) if found else 0.0
+
     def is_alive(self, host: str, now: float, silence_s: float) -> bool:
         """Return whether a host has answered within a time."""
         if host == self.host:
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -1,6 +1,7 @@
 """Which waiting items start at which engines."""
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -9,7 +10,9 @@
 # Assumed until an engine has produced events.
 DEFAULT_EVENT_S = 0.045
 # An engine that has read a group's prompt is preferred up to this much more time.
-SAME_GROUP_BONUS_S = 0.3
+SAME_GROUP_BONUS_S = 0.05
+# An engine that failed recently is used only where others would take this much longer.
+SUSPECT_PENALTY_S = 3.0
 
 
 @attrs.frozen
@@ -30,8 +33,10 @@
         Whether the trainer waits for its group whatever else is complete.
     remaining_events : float
         Expected events still to be made.
-    due_at : float
-        Loop time at which its lot is due.
+    group_events : float
+        Expected events still to be made in its whole group.
+    due_in_s : float
+        Seconds until its lot is due; negative when that has passed.
     priority : int
         Rank of its route, 0 is the highest.
     excluded : frozenset of str
@@ -45,12 +50,13 @@
     group: str
     carried: bool
     remaining_events: float
-    due_at: float
+    group_events: float
+    due_in_s: float
     priority: int
     excluded: frozenset[str] = frozenset()
 
 
-@attrs.define
+@attrs.frozen
 class EngineState:
     """An engine as far as placement needs it.
 
@@ -58,24 +64,30 @@
     ----------
     id : str
         The target.
-    free_slots : int
-        Requests that would start at once.
+    slots : int
+        Requests processed at once.
+    busy_s : tuple of float
+        Expected seconds until each request there ends.
     versions : dict of str to int
         Loaded versions by model.
     event_s : float
         Seconds an event, 0 if not known.
+    ready_in_s : float
+        Seconds until it takes new requests.
     suspect : bool
-        Whether it failed recently.
-    groups : set of str
+        Whether it failed recently; one request at a time then tries it.
+    groups : frozenset of str
         Groups whose prompt it has read.
     """
 
     id: str
-    free_slots: int
+    slots: int
+    busy_s: tuple[float, ...]
     versions: dict[str, int]
     event_s: float = 0.0
+    ready_in_s: float = 0.0
     suspect: bool = False
-    groups: set[str] = attrs.field(factory=set)
+    groups: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -86,42 +98,106 @@
     engine: str
 
 
+class EnginePlan:
+    """An engine with the times at which its slots become free."""
+
+    def __init__(self, state: EngineState):
+        self.state = state
+        self.groups = set(state.groups)
+        slots = 1 if state.suspect else state.slots
+        self.free_at = [max(state.ready_in_s, 0.0)] * max(slots - len(state.busy_s), 0)
+        for seconds in sorted(state.busy_s)[: slots - len(self.free_at)]:
+            self.free_at.append(max(seconds, state.ready_in_s, 0.001))
+        heapq.heapify(self.free_at)
+
+    def takes(self, item: WaitingItem) -> bool:
+        """Return whether an item may run here."""
+        if not self.free_at or self.state.id in item.excluded:
+            return False
+        return self.state.versions.get(item.model, 0) >= item.min_version
+
+    def finish_s(self, item: WaitingItem) -> float:
+        """Return the seconds until an item would end here."""
+        seconds = self.free_at[0] + item.remaining_events * self.event_s()
+        if item.group in self.groups:
+            seconds -= SAME_GROUP_BONUS_S
+        return seconds + (SUSPECT_PENALTY_S if self.state.suspect else 0.0)
+
+    def event_s(self) -> float:
+        """Return the seconds an event."""
+        return self.state.event_s or DEFAULT_EVENT_S
+
+    def place(self, item: WaitingItem) -> bool:
+        """Take a slot for an item and return whether it is free now."""
+        at = heapq.heappop(self.free_at)
+        heapq.heappush(self.free_at, at + item.remaining_events * self.event_s())
+        self.groups.add(item.group)
+        return at <= 0.0
+
+
 def plan_starts(items: Iterable[WaitingItem], engines: Iterable[EngineState]) -> list[Start]:
-    """Return the items that start now, in order.
+    """Return the items that start now.
 
-    Load pattern: lots arrive whole, with more items than there are slots, and a lot is worth
-    what its complete groups are. The longest items decide when a lot ends, so they start first
-    and at the fastest engines. Carried groups come before others.
+    Load pattern: lots arrive whole, with more items than there are slots, and engines differ in
+    speed by more than two. A few long items decide when a lot ends. So the longest are placed
+    first, each where it ends soonest, be it behind another item at a fast engine; only those
+    whose slot is free now start. A lot that would end after it is due is worth its complete
+    groups: its groups are placed one after another, those with the least left first.
     """
-    free = [attrs.evolve(engine, groups=set(engine.groups)) for engine in engines]
-    starts = []
-    for item in sorted(items, key=waiting_order):
-        engine = choose_engine(item, free)
-        if engine is None:
-            continue
-        engine.free_slots -= 1
-        engine.groups.add(item.group)
-        starts.append(Start(item, engine.id))
+    waiting = list(items)
+    states = list(engines)
+    starts, finish_s = simulate(sorted(waiting, key=longest_first), states)
+    late = set()
+    for item in waiting:
+        if finish_s.get(item.lot, 0.0) > max(item.due_in_s, 0.0):
+            late.add(item.lot)
+    if not late:
+        return starts
+    starts, _ = simulate(sorted(waiting, key=order_with_late_lots(late)), states)
     return starts
 
 
-def waiting_order(item: WaitingItem) -> tuple:
-    """Return the key by which waiting items are sorted."""
-    return (item.due_at, not item.carried, item.priority, -item.remaining_events, item.item)
-
-
-def choose_engine(item: WaitingItem, engines: Iterable[EngineState]) -> EngineState | None:
-    """Return the engine at which an item would end first, or None if none is free."""
-    best, best_key = None, None
-    for engine in engines:
-        if engine.free_slots <= 0 or engine.id in item.excluded:
-            continue
-        if engine.versions.get(item.model, 0) < item.min_version:
+def longest_first(item: WaitingItem) -> tuple:
+    """Return the key that places the longest items of the lot due first."""
+    return (item.due_in_s, not item.carried, item.priority, -item.remaining_events, item.item)
+
+
+def order_with_late_lots(late: set[str]) -> Callable[[WaitingItem], tuple]:
+    """Return the key that places late lots group by group."""
+
+    def key(item: WaitingItem) -> tuple:
+        if item.lot not in late:
+            return (item.due_in_s, not item.carried, 0.0, "", -item.remaining_events, item.item)
+        return (
+            item.due_in_s,
+            not item.carried,
+            item.group_events,
+            item.group,
+            -item.remaining_events,
+            item.item,
+        )
+
+    return key
+
+
+def simulate(
+    items: list[WaitingItem], states: list[EngineState]
+) -> tuple[list[Start], dict[str, float]]:
+    """Place items in their order; return what starts now and when each lot would end."""
+    plans = [EnginePlan(state) for state in states]
+    starts: list[Start] = []
+    finish_s: dict[str, float] = {}
+    for item in items:
+        best, best_s = None, 0.0
+        for plan in plans:
+            if not plan.takes(item):
+                continue
+            seconds = plan.finish_s(item)
+            if best is None or seconds < best_s:
+                best, best_s = plan, seconds
+        if best is None:
             continue
-        duration_s = item.remaining_events * (engine.event_s or DEFAULT_EVENT_S)
-        if item.group in engine.groups:
-            duration_s -= SAME_GROUP_BONUS_S
-        key = (engine.suspect, duration_s, -engine.free_slots, engine.id)
-        if best_key is None or key < best_key:
-            best, best_key = engine, key
-    return best
+        finish_s[item.lot] = max(finish_s.get(item.lot, 0.0), best_s)
+        if best.place(item):
+            starts.append(Start(item, best.state.id))
+    return starts, finish_s
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -221,7 +221,7 @@
     "TR2601",
     "duty_taken",
     Level.INFO,
-    "orders are given by this host with fencing token {token}",
+    "orders are given by this host with fencing number {fencing}",
     extra=("former", "reason", "first_order_in_s"),
 )
 DUTY_LOST = Event(
@@ -235,7 +235,7 @@
     "order_sent",
     Level.INFO,
     "{target} ordered to load version {version} of {model}: {outcome}",
-    extra=("token", "expected_orders", "ms"),
+    extra=("fencing", "expected_orders", "ms"),
 )
 HOST_RETIRED = Event(
     "TR2605", "host_retired", Level.INFO, "{retired} holds nothing and may be removed"
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -1,9 +1,11 @@
 """Brings targets to the versions that trainers have named."""
 
 import asyncio
+from collections.abc import Mapping
 
 import attrs
 
+from turmericreach.batches.registry import ModelArrival
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
 from turmericreach.metadata import StoredObject
 from turmericreach.node.peers import PeerTable
@@ -29,6 +31,8 @@
 BUSY_PAUSE_S = 0.3
 # Loads that run at once without slowing each other down.
 LOADS_AT_ONCE = 2
+# A trainer submits its lot just after it has named a version; items take the free slots first.
+ARRIVAL_PAUSE_S = 0.15
 
 
 @attrs.frozen
@@ -59,6 +63,7 @@
         directory: TargetDirectory,
         peers: PeerTable,
         pool: ConnectionPool,
+        arrivals: Mapping[str, ModelArrival],
     ):
         self.host = host
         self.duty = duty
@@ -66,7 +71,9 @@
         self.peers = peers
         self.pool = pool
         self.configuration: Configuration | None = None
+        self.arrivals = arrivals
         self.named: dict[str, int] = {}
+        self.named_at: dict[str, float] = {}
         self.assigned: dict[str, str] = {}
         self.orders_accepted: dict[str, int] = {}
         self.busy_until: dict[str, float] = {}
@@ -83,6 +90,7 @@
         if version.version <= self.named.get(version.model, 0):
             return
         self.named[version.model] = version.version
+        self.named_at[version.model] = asyncio.get_running_loop().time()
         log_event(
             events.VERSION_NAMED,
             model=version.model,
@@ -115,8 +123,9 @@
         named = {model: self.named.get(model, 1) for model in models}
         if not named:
             return
-        self.assigned = assign_models(views, named, self.assigned)
-        orders = plan_orders(views, named, self.assigned, LOADS_AT_ONCE)
+        self.assigned = assign_models(views, self.demand(models), self.assigned)
+        held = {model for model in models if self.is_held(model, now)}
+        orders = plan_orders(views, named, self.assigned, LOADS_AT_ONCE, held)
         if not orders:
             return
         token = await self.duty.verified_token()
@@ -134,12 +143,32 @@
                 found[target.id] = target
         return found
 
+    def demand(self, models: list[str]) -> dict[str, float]:
+        """Return the expected tokens of a lot of each model."""
+        known = {}
+        for model in models:
+            if model in self.arrivals:
+                known[model] = self.arrivals[model].expected_tokens
+        usual = max(known.values(), default=1.0)
+        return {model: known.get(model, usual) for model in models}
+
+    def is_held(self, model: str, now: float) -> bool:
+        """Return whether a lot of a model is about to take the free slots."""
+        named_at = self.named_at.get(model, 0.0)
+        if now < named_at + ARRIVAL_PAUSE_S:
+            return True
+        arrival = self.arrivals.get(model)
+        if arrival is None or arrival.at < named_at - ARRIVAL_PAUSE_S:
+            return False
+        return now < arrival.at + ARRIVAL_PAUSE_S
+
     def view(self, target: Target, now: float) -> EngineView:
         """Return a target as the planner sees it."""
         return EngineView(
             id=target.id,
             versions=target.model_versions,
-            running=target.in_flight,
+            slots=target.record.slots,
+            event_s=target.latency_s or self.peers.event_s(target.id),
             loading=now < self.busy_until.get(target.id, 0.0),
         )
 
@@ -172,7 +201,7 @@
             model=order.model,
             version=order.version,
             outcome="no answer" if status is None else f"status {status}",
-            token=token,
+            fencing=token,
             expected_orders=expected,
             ms=round((now - began) * 1000, 1),
         )
@@ -219,7 +248,7 @@
                 model="",
                 version=0,
                 outcome=f"no report: {type(error).__name__} {error}",
-                token=self.duty.token,
+                fencing=self.duty.token,
                 expected_orders=None,
                 ms=0.0,
             )
--- a/turmericreach/versions/duty.py
+++ b/turmericreach/versions/duty.py
@@ -122,7 +122,7 @@
         self.first_order_at = loop.time() + pause_s
         log_event(
             events.DUTY_TAKEN,
-            token=self.token,
+            fencing=self.token,
             former=former,
             reason=reason,
             first_order_in_s=pause_s,
