Test the gateway, lots, orders and the programs against stand-ins; wait for a lot that starts

Cause: a read at the owner in the moment between acceptance and start of a lot returned at once instead of waiting for a result.

--- /dev/null
+++ b/tests/node/test_log_output.py
@@ -0,0 +1,47 @@
+"""The log: bounded and never blocking."""
+
+import contextlib
+import json
+import os
+import time
+
+from turmericreach.node.log_output import LogOutput
+
+
+def test_reader_that_stops_blocks_nothing():
+    """Guards against a program that hangs because nobody reads its log."""
+    reading, writing = os.pipe()
+    output = LogOutput(writing, max_lines=100)
+    output.start()
+    began = time.monotonic()
+    for number in range(200_000):
+        output.write(f'{{"line": {number}, "padding": "{"x" * 100}"}}\n')
+    assert time.monotonic() - began < 5
+    assert output.dropped > 0
+    received = os.read(reading, 1 << 16)
+    assert received
+    output.closing = True
+    output.lines.clear()
+    os.set_blocking(reading, False)
+    while output.thread.is_alive():
+        with contextlib.suppress(BlockingIOError):
+            os.read(reading, 1 << 16)
+        output.thread.join(timeout=0.05)
+    os.close(reading)
+    os.close(writing)
+
+
+def test_dropped_lines_are_counted_in_the_log():
+    """Guards against a log with gaps that nobody can see."""
+    reading, writing = os.pipe()
+    output = LogOutput(writing, max_lines=2)
+    for number in range(5):
+        output.write(f'{{"line": {number}}}\n')
+    output.start()
+    output.close()
+    lines = [json.loads(line) for line in os.read(reading, 1 << 16).decode().splitlines()]
+    assert lines[0]["event"] == "log_lines_dropped"
+    assert lines[0]["fields"] == {"lines": 3}
+    assert [line["line"] for line in lines[1:]] == [0, 1]
+    os.close(reading)
+    os.close(writing)
--- /dev/null
+++ b/tests/node/test_programs.py
@@ -0,0 +1,155 @@
+"""The real program as a process: start, signals, kill, log."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tests.builders.fleet_world import PROGRAM, GatewayProgram, eventually, item, submission
+
+
+@pytest.fixture
+async def programs(world, tmp_path):
+    made = [GatewayProgram(world, name, tmp_path) for name in ("g1", "g2")]
+    for program in made:
+        await program.start()
+    yield made
+    for program in made:
+        await program.end()
+
+
+async def test_requests_are_served_through_a_graceful_stop(world, programs):
+    """Guards against answers that are cut when a process is stopped as planned."""
+    for name in ("p1", "p2"):
+        world.targets[name].work_s = 0.5
+    tasks = [
+        asyncio.create_task(
+            world.call(programs[0].front, "POST", "/lookup/1", attempt=f"a{number}")
+        )
+        for number in range(6)
+    ]
+    await asyncio.sleep(0.2)
+    programs[0].signal(signal.SIGTERM)
+    assert [(await task)[0] for task in tasks] == [200] * 6
+    assert not await programs[0].is_ready()
+    async with asyncio.timeout(7):
+        assert await programs[0].process.wait() == 0
+    names = [event["event"] for event in programs[0].events()]
+    assert names[0] == "node_started"
+    assert names[-1] == "node_stopped"
+
+
+async def test_lot_survives_sigkill_of_its_owner(world, programs):
+    """Guards against the loss of an accepted lot with the process that accepted it."""
+    for name in ("e1", "e2"):
+        world.targets[name].event_s = 0.1
+    document = submission([item(f"i{number}") for number in range(4)])
+    assert await world.submit(programs[0].front, "lot1", document) == 202
+    programs[0].signal(signal.SIGKILL)
+    results = await world.read_all(programs[1].front, "lot1", 4, timeout_s=12.0)
+    assert sorted(result["id"] for result in results) == ["i0", "i1", "i2", "i3"]
+
+
+async def test_lots_survive_sigkill_of_all_processes(world, programs):
+    """Guards against state that only memory holds."""
+    for name in ("e1", "e2"):
+        world.targets[name].event_s = 0.05
+    document = submission([item(f"i{number}") for number in range(4)])
+    assert await world.submit(programs[0].front, "lot1", document) == 202
+    for program in programs:
+        program.signal(signal.SIGKILL)
+        await program.process.wait()
+    for program in programs:
+        await program.start()
+    assert len(await world.read_all(programs[1].front, "lot1", 4, timeout_s=12.0)) == 4
+
+
+async def test_frozen_owner_that_wakes_changes_nothing(world, programs):
+    """Guards against a former owner that lists results after its freeze."""
+    for name in ("e1", "e2"):
+        world.targets[name].event_s = 0.1
+    document = submission([item(f"i{number}") for number in range(4)])
+    await world.submit(programs[0].front, "lot1", document)
+    await asyncio.sleep(0.2)
+    programs[0].signal(signal.SIGSTOP)
+    results = await world.read_all(programs[1].front, "lot1", 4, timeout_s=12.0)
+    programs[0].signal(signal.SIGCONT)
+    await asyncio.sleep(1.0)
+    assert await world.read_all(programs[0].front, "lot1", 4) == results
+
+
+async def test_log_lines_are_json_with_the_request_id(world, programs):
+    """Guards against decisions that cannot be found by a request's id."""
+    await world.call(programs[0].front, "POST", "/lookup/1", attempt="find-me")
+    await eventually(
+        lambda: (
+            {"request_tried", "request_ended"}
+            <= {
+                event["event"]
+                for event in programs[0].events()
+                if event["fields"].get("request") == "find-me"
+            }
+        )
+    )
+
+
+def run_program(*arguments, **environment):
+    """Run the program to its end."""
+    return subprocess.run(
+        [sys.executable, str(PROGRAM), *arguments],
+        env={**os.environ, **environment},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (None, "TURMERICREACH_NODE_FILE"),
+        ("{", "no JSON"),
+        ({"node": 5}, "node"),
+        ({"platform": {}}, "platform.address"),
+        ({"portRange": [1]}, "portRange"),
+        ({"bounds": {"graceS": "long"}}, "bounds.graceS"),
+    ],
+)
+async def test_wrong_settings_end_the_program_with_one_clear_line(world, tmp_path, change, named):
+    """Guards against a program that starts with settings it cannot use."""
+    document = GatewayProgram(world, "g1", tmp_path).document()
+    path = tmp_path / "settings.json"
+    environment = {"TURMERICREACH_NODE_FILE": str(path)}
+    if change is None:
+        environment = {"TURMERICREACH_NODE_FILE": ""}
+    elif isinstance(change, str):
+        path.write_text(change)
+    else:
+        path.write_text(json.dumps({**document, **change}))
+    ended = await asyncio.to_thread(run_program, "gateway", **environment)
+    assert ended.returncode == 2
+    assert named in ended.stderr
+    assert len(ended.stderr.strip().splitlines()) == 1
+
+
+def test_unknown_program_is_refused():
+    """Guards against a deploy file that names a program which does not exist."""
+    assert run_program("other").returncode == 2
+
+
+def test_standby_ends_on_sigterm():
+    """Guards against a program that must be killed."""
+    process = subprocess.Popen([sys.executable, str(PROGRAM), "standby"])
+    try:
+        with pytest.raises(subprocess.TimeoutExpired):
+            process.wait(timeout=0.5)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=5) == 0
+    finally:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/tests/placement/test_plain.py
@@ -0,0 +1,74 @@
+"""Choice of a target for single requests, retry times and successors."""
+
+import pytest
+
+from turmericreach.placement import choose_target, hedge_delay_s, retry_after_s
+from turmericreach.placement.ownership import choose_successor
+from turmericreach.services import LoadReport, Target, TargetRecord
+
+
+def target(name, data_centre="a", slots=6, **fields):
+    """Return a target."""
+    record = TargetRecord(name, 0, "portal", f"10.0.0.1:{len(name)}", data_centre, slots, False)
+    made = Target(record)
+    for key, value in fields.items():
+        setattr(made, key, value)
+    return made
+
+
+def test_least_loaded_target_is_chosen():
+    """Guards against requests that queue at one target while another is free."""
+    busy, free = target("busy", in_flight=6), target("free", in_flight=1)
+    assert choose_target([busy, free], 0.0, "a") is free
+
+
+def test_load_told_by_the_target_counts():
+    """Guards against a target that other processes have filled."""
+    full = target("full", load=LoadReport(6, 5, 6, at=10.0))
+    assert choose_target([full, target("free", in_flight=2)], 10.5, "a").id == "free"
+
+
+def test_old_load_does_not_count():
+    """Guards against avoiding a target for load that is long over."""
+    full = target("a-full", load=LoadReport(6, 5, 6, at=10.0))
+    assert choose_target([full, target("free", in_flight=2)], 20.0, "a") is full
+
+
+def test_suspect_target_is_the_last_choice():
+    """Guards against requests to a target that has just failed."""
+    bad, busy = target("bad", suspect_until=5.0), target("busy", in_flight=5)
+    assert choose_target([bad, busy], 1.0, "a") is busy
+    assert choose_target([bad], 1.0, "a") is bad
+
+
+def test_equal_targets_are_chosen_by_data_centre():
+    """Guards against bytes between data centres that gain nothing."""
+    far, near = target("far", "b"), target("near", "a")
+    assert choose_target([far, near], 0.0, "a") is near
+
+
+def test_tried_targets_are_left_out():
+    """Guards against more runs at one target than the route allows targets."""
+    assert choose_target([target("only")], 0.0, "a", {"only"}) is None
+
+
+def test_slow_target_is_hedged_within_the_time_left():
+    """Guards against a request that waits its whole time at a target that has gone dark."""
+    dark = target("dark", latency_s=0.03)
+    assert hedge_delay_s(dark, 1.5) <= 0.2
+    assert hedge_delay_s(dark, 0.1) == pytest.approx(0.04)
+
+
+def test_retry_time_follows_the_cause():
+    """Guards against callers that come back while the store is still away."""
+    assert retry_after_s(store_away=True, starting=False) > retry_after_s(False, False)
+
+
+def test_successor_is_the_same_for_all_and_moves_only_when_it_goes():
+    """Guards against two successors, and against moves when another host leaves."""
+    hosts = ["a", "b", "c", "d"]
+    chosen = choose_successor("lot", hosts)
+    assert choose_successor("lot", reversed(hosts)) == chosen
+    other = next(host for host in hosts if host != chosen)
+    assert choose_successor("lot", [host for host in hosts if host != other]) == chosen
+    assert choose_successor("lot", []) is None
--- /dev/null
+++ b/tests/versions/test_planner.py
@@ -0,0 +1,76 @@
+"""Division of engines among models, and the orders to load versions."""
+
+from turmericreach.versions.planner import EngineView, LoadOrder, assign_models, plan_orders
+
+FAST_S, SLOW_S = 0.027, 0.065
+
+
+def view(name, event_s=FAST_S, loading=False, **versions):
+    """Return an engine."""
+    return EngineView(name, versions or {"x": 1, "y": 1}, 8, event_s, loading)
+
+
+def test_work_and_speed_decide_the_division():
+    """Guards against a model with more work that gets the slow engine.
+
+    Seen on silmalasi-reach: lots of 728 events at a fast and a slow engine took 5 s, while lots
+    of 396 events had two fast ones.
+    """
+    engines = [view("a"), view("b"), view("c"), view("slow", SLOW_S)]
+    assigned = assign_models(engines, {"x": 728.0, "y": 396.0}, {})
+    assert sum(assigned[name] == "x" for name in ("a", "b", "c")) == 2
+    assert assigned["slow"] == "y"
+
+
+def test_division_stays_while_it_is_good_enough():
+    """Guards against loads for a small gain."""
+    engines = [view("a"), view("b")]
+    former = {"a": "y", "b": "x"}
+    assert assign_models(engines, {"x": 100.0, "y": 110.0}, former) == former
+
+
+def test_division_follows_the_loss_of_an_engine():
+    """Guards against a model without any engine."""
+    assigned = assign_models([view("a"), view("b")], {"x": 1.0, "y": 1.0}, {"a": "x", "c": "y"})
+    assert sorted(assigned.values()) == ["x", "y"]
+
+
+def test_new_order_giver_takes_over_the_division():
+    """Guards against loads of all engines when another process begins to give orders."""
+    engines = [view("a", x=1, y=4), view("b", x=4, y=1)]
+    assert assign_models(engines, {"x": 1.0, "y": 1.0}, {}) == {"a": "y", "b": "x"}
+
+
+def test_half_of_the_engines_load_at_a_time():
+    """Guards against a moment at which no engine of a model takes requests."""
+    engines = [view("a", x=1), view("b", x=1)]
+    orders = plan_orders(engines, {"x": 2}, {"a": "x", "b": "x"}, at_once=2)
+    assert orders == [LoadOrder("a", "x", 2)]
+    engines = [view("a", x=1, loading=True), view("b", x=1)]
+    assert plan_orders(engines, {"x": 2}, {"a": "x", "b": "x"}, at_once=2) == []
+
+
+def test_engines_too_old_for_the_lot_load_at_once():
+    """Guards against engines that stand idle because they wait for their turn."""
+    engines = [view("a", x=1), view("b", x=1)]
+    assert len(plan_orders(engines, {"x": 3}, {"a": "x", "b": "x"}, at_once=2)) == 2
+
+
+def test_loads_wait_for_a_lot_that_is_about_to_start():
+    """Guards against a load that refuses the first items of a lot for a second."""
+    engines = [view("a", x=1), view("b", x=1)]
+    assigned = {"a": "x", "b": "x"}
+    assert plan_orders(engines, {"x": 2}, assigned, at_once=2, held={"x"}) == []
+    assert len(plan_orders(engines, {"x": 3}, assigned, at_once=2, held={"x"})) == 2
+
+
+def test_no_more_loads_at_once_than_run_unslowed():
+    """Guards against loads that slow each other down."""
+    engines = [view(str(number), x=1) for number in range(6)]
+    orders = plan_orders(engines, {"x": 3}, {str(n): "x" for n in range(6)}, at_once=2)
+    assert len(orders) == 2
+
+
+def test_engine_with_a_newer_version_is_never_taken_back():
+    """Guards against orders to an older version."""
+    assert plan_orders([view("a", x=5)], {"x": 4}, {"a": "x"}, at_once=2) == []
--- a/turmericreach/batches/calls.py
+++ b/turmericreach/batches/calls.py
@@ -20,6 +20,8 @@
 # A submission is worth holding while the store may answer soon.
 SUBMIT_TIMEOUT_S = 3.0
 END_TIMEOUT_S = 3.0
+# A lot starts here within a few milliseconds, unless the store is slow.
+START_POLL_S = 0.02
 # Below the largest answer to a read, with room for its frame.
 PAGE_BYTES = 900_000
 
@@ -115,11 +117,14 @@
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + wait_s
         while True:
+            left_s = give_up_at - loop.time()
+            if self.registry.is_starting(record.lot) and left_s > 0:
+                await asyncio.sleep(START_POLL_S)
+                continue
             local = self.registry.local_results(record.lot)
             if local is None:
                 return None
             results, changed = local
-            left_s = give_up_at - loop.time()
             if len(results) > after or len(results) >= total or left_s <= 0:
                 return Page(total, after, page_of(results, after))
             try:
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -294,6 +294,11 @@
 
     # Reading
 
+    def is_starting(self, lot: str) -> bool:
+        """Return whether a lot is about to be run here."""
+        run = self.scheduler.runs.get(lot)
+        return lot in self.starting or (run is not None and not run.loaded)
+
     def local_results(self, lot: str) -> tuple[list[ItemResult], asyncio.Event] | None:
         """Return the results of a lot that is run here, and an event set by the next ones."""
         run = self.scheduler.runs.get(lot)
