Serve metrics, bound the log, explain an id from log lines, check the platform's files

Cause: on-call engineers had log lines but no metrics address, no way from an id to its story, and routine lines could push out those of failures. Change: counters and latency summaries are counted from the log events and served as text; the log takes at most 400 routine lines a second and keeps warnings longest; turmericreach explain reads log files; turmericreach check reads the deploy file and the settings.

--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -283,8 +283,9 @@
             report = await run_item(state.item, state.progress, target, bounds, self.pool)
         finally:
             target.in_flight -= 1
+            whole = report.outcome is ItemOutcome.WHOLE
             log_event(
-                events.ITEM_STOPPED,
+                events.ITEM_STOPPED if whole else events.ITEM_BROKEN,
                 item=state.item.id,
                 lot=self.spec.id,
                 target=target.id,
--- a/turmericreach/cli/decisions.py
+++ b/turmericreach/cli/decisions.py
@@ -2,7 +2,9 @@
 
 import datetime
 import re
+import sys
 import time
+from pathlib import Path
 from typing import Annotated
 
 import attrs
@@ -10,10 +12,11 @@
 from cyclopts import Parameter
 
 from turmericreach.audit import AuditRecord, read_audit
-from turmericreach.cli.options import Api, ExitCode, Output, Platform, command
+from turmericreach.cli.options import Api, ExitCode, Output, Platform, command, report
 from turmericreach.cli.output import format_time, note, show, table
 from turmericreach.client import ApiError, OperatorClient
 from turmericreach.objectstore import ObjectStoreError
+from turmericreach.telemetry.story import StoryLine, find_story, read_lines
 
 __all__ = ["audit", "explain", "parse_since"]
 
@@ -22,12 +25,23 @@
 
 @command
 async def explain(
-    subject: Annotated[str, Parameter(help="Request, attempt or sample (lot/group/index).")],
+    subject: Annotated[
+        str, Parameter(help="Request, attempt, item, lot or sample (lot/group/index).")
+    ],
     *,
+    logs: Annotated[
+        list[Path] | None,
+        Parameter(help="Log files or folders to read instead of asking a gateway; - for a pipe."),
+    ] = None,
+    context: Annotated[
+        bool, Parameter(help="Add log lines that changed what a host believed meanwhile.")
+    ] = True,
     output: Output = Output.TABLE,
     api: Api = Api(),  # noqa: B008 - cyclopts reads the default
 ) -> int:
     """Show which daemon decided what, when and on which evidence, attempt by attempt."""
+    if logs:
+        return explain_from_logs(subject, logs, context, output)
     async with api.connect() as connection:
         rows = await OperatorClient(connection).explain(subject)
     if not any(row["request_id"] for row in rows):
@@ -37,6 +51,38 @@
     return ExitCode.OK
 
 
+def explain_from_logs(subject: str, logs: list[Path], context: bool, output: Output) -> int:
+    """Show what log lines tell of a subject."""
+    try:
+        story = find_story(read_lines(logs, sys.stdin), subject, context)
+    except OSError as error:
+        return report(f"{error.filename}: {error.strerror}", ExitCode.BAD_INPUT)
+    if not story:
+        return report(f"no log line tells of {subject}", ExitCode.NOT_FOUND)
+    cells = [
+        (format_time(line.time), line.host, f"({line.event})" if line.context else line.event,
+         line.message, details(line))
+        for line in story
+    ]  # fmt: skip
+    title = f"{subject}; events in parentheses are about others"
+    show(
+        output,
+        [attrs.asdict(line) for line in story],
+        table(["time", "host", "event", "what", "inputs"], cells, title),
+    )
+    return ExitCode.OK
+
+
+def details(line: StoryLine) -> str:
+    """Return the fields that the message does not hold."""
+    hidden = [
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name != "settings" and str(value) not in line.message
+    ]
+    return " ".join(hidden)
+
+
 def by_attempt(rows: list[dict]) -> dict[tuple[str, str], list[dict]]:
     """Return the decisions by request and attempt, in the order of their first decision."""
     groups: dict[tuple[str, str], list[dict]] = {}
--- a/turmericreach/cli/main.py
+++ b/turmericreach/cli/main.py
@@ -8,6 +8,7 @@
 
 from turmericreach import __version__
 from turmericreach.cli import lots, manifests, weights
+from turmericreach.cli.checks import check
 from turmericreach.cli.decisions import audit, explain
 from turmericreach.cli.deployment import status
 from turmericreach.cli.options import EXIT_CODE_HELP, ExitCode, report
@@ -34,6 +35,7 @@
 app.command(weights.app)
 app.command(explain)
 app.command(audit)
+app.command(check)
 
 
 @app.command
--- a/turmericreach/cli/options.py
+++ b/turmericreach/cli/options.py
@@ -35,6 +35,7 @@
     UNKNOWN_RESULT = 4
     UNAVAILABLE = 5
     NOT_CONFIRMED = 6
+    NOT_FOUND = 7
 
 
 EXIT_CODE_HELP = {
@@ -45,6 +46,7 @@
     ExitCode.UNKNOWN_RESULT: "the result stays unknown; read the state before trying again",
     ExitCode.UNAVAILABLE: "the platform or every gateway is down",
     ExitCode.NOT_CONFIRMED: "the wait ended before all was confirmed; the change stays",
+    ExitCode.NOT_FOUND: "nothing is known of what was asked for",
 }
 
 
--- a/turmericreach/node/caller_api.py
+++ b/turmericreach/node/caller_api.py
@@ -101,7 +101,7 @@
         responder.send(status, refusal_fields(retry_s))
         now = asyncio.get_running_loop().time()
         log_event(
-            events.REQUEST_ENDED,
+            events.REQUEST_FAILED if status >= 500 else events.REQUEST_ENDED,
             request=attempt_head(request.headers).id,
             status=status,
             ms=(now - request.received_at) * 1000,
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -436,8 +436,9 @@
     def log_end(self, exchange: Exchange, status: int, reason: str) -> None:
         """Log the end of a request."""
         now = asyncio.get_running_loop().time()
+        failed = status == 0 or status >= 500
         log_event(
-            events.REQUEST_ENDED,
+            events.REQUEST_FAILED if failed else events.REQUEST_ENDED,
             request=exchange.attempt.id,
             status=status,
             ms=(now - exchange.request.received_at) * 1000,
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -20,6 +20,7 @@
 from turmericreach.node.coordinator import Coordinator
 from turmericreach.node.forwarder import Forwarder
 from turmericreach.node.lot_api import LotApi
+from turmericreach.node.metrics_page import MetricsPage
 from turmericreach.node.peer_api import PeerApi
 from turmericreach.node.settings import NodeSettings
 from turmericreach.node.supervision import TaskGroup
@@ -92,6 +93,8 @@
         self.mirrors = self.make_mirrors()
         self.callers = self.make_servers()
         self.ready_checks = HttpServer(self.handle_ready)
+        self.metrics_page = MetricsPage(self)
+        self.metrics_server = HttpServer(self.metrics_page.handle)
         self.tasks = TaskGroup()
         self.stopping = asyncio.Event()
         self.stop_signal = ""
@@ -208,10 +211,23 @@
         await self.ready_checks.start(self.settings.ready_address)
         await self.peer_calls.start(self.peers.address)
         await self.callers.start(self.settings.caller_address)
+        await self.serve_metrics()
         self.start_tasks()
         await self.stopping.wait()
         await self.stop()
 
+    async def serve_metrics(self) -> None:
+        """Serve metrics where the settings name a port; a port in use leaves only the log."""
+        if not self.settings.metrics_port:
+            return
+        self.metrics_page.listen()
+        try:
+            await self.metrics_server.start(f"{self.settings.ip}:{self.settings.metrics_port}")
+        except OSError as error:
+            log_event(events.METRICS_NOT_SERVED, port=self.settings.metrics_port, error=str(error))
+            return
+        self.tasks.start("loop lag", self.metrics_page.measure_lag)
+
     def start_tasks(self) -> None:
         """Start what goes on all the time."""
         self.tasks.start("store monitor", self.client.monitor)
@@ -272,7 +288,8 @@
         self.tasks.stop()
         for lot in list(self.scheduler.runs):
             self.registry.stop_run(lot, "the process ends")
-        for server in (self.callers, self.ready_checks, self.peer_calls):
+        self.metrics_page.close()
+        for server in (self.callers, self.ready_checks, self.peer_calls, self.metrics_server):
             await server.stop()
         for pool in (self.pool, self.client.pool, self.peers.pool):
             pool.close()
--- a/turmericreach/node/log_output.py
+++ b/turmericreach/node/log_output.py
@@ -10,21 +10,31 @@
 
 __all__ = ["LogOutput"]
 
+# Lines that wait for the reader of the log.
 MAX_LINES = 20_000
+# Beyond this share of them only warnings and errors are taken, so that failures are kept longest.
+ROUTINE_SHARE = 0.5
+# Routine lines a second of one process, so that a peak does not fill the disks of the log.
+ROUTINE_LINES_PER_S = 400.0
+ROUTINE_BURST_LINES = 4000.0
+ROUTINE_MARKS = ('"level": "info"', '"level": "debug"')
 FLUSH_INTERVAL_S = 0.1
 BATCH_BYTES = 1 << 16
+CLOSE_TIMEOUT_S = 1.0
 
 
 class LogOutput:
     """A text stream whose lines a thread writes.
 
     A reader that stops reading blocks only the thread. Lines beyond a bound are dropped and
-    counted, and the count is written once there is room.
+    counted, routine ones first, and the count is written once there is room.
 
     Attributes
     ----------
     dropped : int
         Lines dropped since the last count was written.
+    dropped_in_all : int
+        Lines dropped since the start.
     """
 
     def __init__(self, descriptor: int, max_lines: int = MAX_LINES):
@@ -32,6 +42,9 @@
         self.max_lines = max_lines
         self.lines: deque[str] = deque()
         self.dropped = 0
+        self.dropped_in_all = 0
+        self.routine_left = ROUTINE_BURST_LINES
+        self.refilled_at = time.monotonic()
         self.closing = False
         self.thread = threading.Thread(target=self.write_lines, daemon=True)
 
@@ -41,12 +54,30 @@
 
     def write(self, text: str) -> int:
         """Take a text; it is written later, or dropped if too much waits."""
-        if len(self.lines) >= self.max_lines:
-            self.dropped += 1
-        else:
+        if self.is_taken(text):
             self.lines.append(text)
+        else:
+            self.dropped += 1
+            self.dropped_in_all += 1
         return len(text)
 
+    def is_taken(self, text: str) -> bool:
+        """Return whether there is room for a text."""
+        if not text.strip():
+            return len(self.lines) < self.max_lines
+        if not any(mark in text for mark in ROUTINE_MARKS):
+            return len(self.lines) < self.max_lines
+        if len(self.lines) >= ROUTINE_SHARE * self.max_lines:
+            return False
+        now = time.monotonic()
+        earned = (now - self.refilled_at) * ROUTINE_LINES_PER_S
+        self.routine_left = min(self.routine_left + earned, ROUTINE_BURST_LINES)
+        self.refilled_at = now
+        if self.routine_left < 1.0:
+            return False
+        self.routine_left -= 1.0
+        return True
+
     def flush(self) -> None:
         """Do nothing: the thread writes at its own pace."""
 
@@ -96,4 +127,4 @@
     def close(self) -> None:
         """Write what is left, for a moment at most."""
         self.closing = True
-        self.thread.join(timeout=1.0)
+        self.thread.join(timeout=CLOSE_TIMEOUT_S)
--- a/turmericreach/node/main.py
+++ b/turmericreach/node/main.py
@@ -3,39 +3,57 @@
 import asyncio
 import sys
 
+import attrs
+
 from turmericreach.node.log_output import LogOutput
+from turmericreach.node.settings import NodeSettings
 from turmericreach.node.standby import run_standby
 from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.settings import load_settings, settings_path
 from turmericreach.telemetry import configure_logging
+from turmericreach.telemetry.log import EVENT_LOG
 
 __all__ = ["run"]
 
 EXIT_USAGE = 2
-PROGRAMS = ("gateway", "standby")
+USAGE = "usage: turmericreach_node.py gateway [--metrics-port PORT] | standby"
 
 
 def run(arguments: list[str]) -> int:
-    """Run the program that the arguments name and return the exit code."""
-    if len(arguments) != 1 or arguments[0] not in PROGRAMS:
-        print(f"usage: turmericreach-node {'|'.join(PROGRAMS)}", file=sys.stderr)
-        return EXIT_USAGE
-    if arguments[0] == "standby":
+    """Run the program that the arguments name and return the exit code.
+
+    The arguments are few, and a library for them would cost memory on every host.
+    """
+    if arguments == ["standby"]:
         return run_standby()
+    port = metrics_port(arguments)
+    if port is None:
+        print(USAGE, file=sys.stderr)
+        return EXIT_USAGE
     try:
         settings = load_settings(settings_path())
     except DecodeError as error:
         print(f"settings: {error}", file=sys.stderr)
         return EXIT_USAGE
-    return run_gateway(settings)
+    return run_gateway(attrs.evolve(settings, metrics_port=port))
+
+
+def metrics_port(arguments: list[str]) -> int | None:
+    """Return the port for metrics, 0 for none; None if the arguments are wrong."""
+    if arguments == ["gateway"]:
+        return 0
+    if len(arguments) != 3 or arguments[:2] != ["gateway", "--metrics-port"]:
+        return None
+    return int(arguments[2]) if arguments[2].isdigit() else None
 
 
-def run_gateway(settings) -> int:
+def run_gateway(settings: NodeSettings) -> int:
     """Run the program on hosts that callers reach."""
     from turmericreach.node.gateway import Gateway
 
     output = LogOutput(sys.stdout.fileno())
     output.start()
+    EVENT_LOG.dropped = lambda: output.dropped_in_all
     configure_logging("info", settings.host, output)
 
     async def serve() -> None:
--- /dev/null
+++ b/turmericreach/node/metrics_page.py
@@ -0,0 +1,118 @@
+"""The page of metrics that a process serves."""
+
+import asyncio
+from collections import Counter
+from typing import Protocol
+
+from turmericreach.batches.scheduler import ItemScheduler
+from turmericreach.coordination.duty import CoordinatorDuty
+from turmericreach.coordination.peers import PeerTable
+from turmericreach.http1 import ConnectionPool, Request, Responder
+from turmericreach.metadata import MetadataClient
+from turmericreach.node.configuration import ConfigurationHolder
+from turmericreach.services import TargetDirectory
+from turmericreach.telemetry import node_metrics as metrics
+from turmericreach.telemetry.log import EVENT_LOG
+from turmericreach.telemetry.served_metrics import CONTENT_TYPE, ServedMetrics
+
+__all__ = ["MetricsPage", "MetricsSources"]
+
+LAG_INTERVAL_S = 0.25
+# The longest delay is forgotten after this many measurements.
+LAG_SAMPLES = 40
+
+
+class MetricsSources(Protocol):
+    """Parts of a process whose state is shown as gauges."""
+
+    client: MetadataClient
+    configuration: ConfigurationHolder
+    directory: TargetDirectory
+    pool: ConnectionPool
+    scheduler: ItemScheduler
+    peers: PeerTable
+    duty: CoordinatorDuty
+
+
+class MetricsPage:
+    """Counts log events and answers with all metrics as text."""
+
+    def __init__(self, sources: MetricsSources):
+        self.sources = sources
+        self.metrics = ServedMetrics()
+        self.lags: list[float] = []
+
+    def listen(self) -> None:
+        """Count each log event from now on."""
+        EVENT_LOG.listeners.append(self.count)
+
+    def close(self) -> None:
+        """Count no more."""
+        if self.count in EVENT_LOG.listeners:
+            EVENT_LOG.listeners.remove(self.count)
+
+    def count(self, event, fields) -> None:
+        """Count a log event."""
+        metrics.count_event(self.metrics, event, fields)
+
+    async def measure_lag(self) -> None:
+        """Measure how late the event loop wakes up, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.lags = [*self.lags[-LAG_SAMPLES:], loop.time() - due]
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer with the page."""
+        self.set_gauges()
+        responder.send(200, [("Content-Type", CONTENT_TYPE)], self.metrics.render().encode())
+
+    def set_gauges(self) -> None:
+        """Read the state of the parts."""
+        sources, page = self.sources, self.metrics
+        for purpose, calls in sources.client.calls.items():
+            page.gauge(metrics.STORE_CALLS, calls, purpose=purpose)
+        page.gauge(metrics.STORE_AGE, round(min(sources.client.contact_age_s(), 1e9), 3))
+        page.gauge(metrics.CONFIGURATION, sources.configuration.version())
+        page.gauge(metrics.CONNECTIONS, sources.pool.opened)
+        page.gauge(metrics.COORDINATES, int(sources.duty.token is not None))
+        page.gauge(metrics.LOG_DROPPED, EVENT_LOG.dropped())
+        page.gauge(metrics.LOOP_LAG, round(max(self.lags, default=0.0) * 1000, 1))
+        self.set_target_gauges()
+        self.set_item_gauges()
+        self.set_peer_gauges()
+
+    def set_target_gauges(self) -> None:
+        """Count targets by state."""
+        now = asyncio.get_running_loop().time()
+        states = Counter({"ready": 0, "draining": 0, "suspect": 0})
+        for target in self.sources.directory.targets.values():
+            if target.record.draining:
+                states["draining"] += 1
+            elif target.is_suspect(now):
+                states["suspect"] += 1
+            else:
+                states["ready"] += 1
+        for state, number in states.items():
+            self.metrics.gauge(metrics.TARGETS, number, state=state)
+
+    def set_item_gauges(self) -> None:
+        """Count lots, and items by phase."""
+        runs = self.sources.scheduler.runs
+        self.metrics.gauge(metrics.LOTS_RUNNING, len(runs))
+        phases = Counter({"waiting": 0, "running": 0, "scoring": 0, "ready": 0, "listed": 0})
+        for run in runs.values():
+            phases.update(str(state.phase) for state in run.states.values())
+        for phase, number in phases.items():
+            self.metrics.gauge(metrics.ITEMS, number, phase=phase)
+
+    def set_peer_gauges(self) -> None:
+        """Count other processes by state."""
+        peers = self.sources.peers
+        now = asyncio.get_running_loop().time()
+        states = Counter({"alive": 0, "silent": 0})
+        for host in peers.peers:
+            states["alive" if peers.is_alive(host, now) else "silent"] += 1
+        for state, number in states.items():
+            self.metrics.gauge(metrics.PEERS, number, state=state)
--- a/turmericreach/node/settings.py
+++ b/turmericreach/node/settings.py
@@ -66,10 +66,12 @@
         Its address.
     caller_address, ready_address : str
         ``ip:port`` for callers and for the ready check; empty where the role has none.
-    peer_port, metrics_port : int
-        Ports for calls between processes and for metrics.
+    peer_port : int
+        Port for calls between processes.
     cores : float
         Processor time that the process may use, in cores.
+    metrics_port : int
+        Port at which metrics are served, 0 for none.
     store : StoreSettings
         The metadata store.
     timings : Timings
@@ -83,7 +85,7 @@
     caller_address: str
     ready_address: str
     peer_port: int
-    metrics_port: int
     store: StoreSettings
     timings: Timings = Timings()
     cores: float = 1.0
+    metrics_port: int = 0
--- a/turmericreach/platform/settings.py
+++ b/turmericreach/platform/settings.py
@@ -60,7 +60,6 @@
         caller_address=listen.text("front", ""),
         ready_address=listen.text("ready", ""),
         peer_port=ports[0],
-        metrics_port=ports[1],
         store=StoreSettings(
             address=store.text("address"),
             writes_per_s=store.number("writesPerS", 400.0),
--- a/turmericreach/telemetry/catalogue.py
+++ b/turmericreach/telemetry/catalogue.py
@@ -3,6 +3,7 @@
 from turmericreach.telemetry.events import CONCERNS
 from turmericreach.telemetry.metric_catalogue import METRICS
 from turmericreach.telemetry.metrics import MAX_LABEL_VALUES, OTHER, PREFIX
+from turmericreach.telemetry.node_metrics import NODE_METRICS
 
 __all__ = ["render_event_catalogue", "render_metric_catalogue"]
 
@@ -35,6 +36,11 @@
     lines += [f"further ones are counted as `{OTHER}`.", ""]
     header = ["metric", "type", "unit", "labels", "meaning"]
     rows = [[f"`{m.name}`", m.type, m.unit, code_list(m.labels), m.meaning] for m in METRICS]
+    lines = [*lines, *table(header, rows), ""]
+    lines += ["## Programs on the platform's hosts", ""]
+    lines += ["They are served as text over HTTP at the port that `deploy/system.toml` names, with"]
+    lines += ["the prefix `turmericreach_`. Timings are summaries in seconds.", ""]
+    rows = [[f"`{m.name}`", m.type, m.unit, code_list(m.labels), m.meaning] for m in NODE_METRICS]
     return "\n".join([*lines, *table(header, rows), ""])
 
 
--- a/turmericreach/telemetry/log.py
+++ b/turmericreach/telemetry/log.py
@@ -2,6 +2,7 @@
 
 import json
 import logging as std_logging
+from collections.abc import Callable
 from typing import Any, TextIO
 
 from absl import flags, logging
@@ -34,10 +35,16 @@
     strict : bool
         Whether unknown or missing fields raise. A daemon logs the event and the fault instead,
         since a wrong log call must not fail a request.
+    listeners : list of callable
+        Called with each event whose fields are right, and its fields.
+    dropped : callable
+        Returns how many lines the output has dropped.
     """
 
     def __init__(self):
         self.strict = True
+        self.listeners: list[Callable[[Event, dict[str, Any]], None]] = []
+        self.dropped: Callable[[], int] = lambda: 0
 
 
 EVENT_LOG = EventLog()
@@ -113,6 +120,9 @@
     problem = event.check(fields)
     if problem and EVENT_LOG.strict:
         raise EventFieldError(problem)
+    if not problem:
+        for listener in EVENT_LOG.listeners:
+            listener(event, fields)
     values = {name: clean(name, value) for name, value in fields.items()}
     message = event.template if problem else render(event, values)
     if problem:
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -44,6 +44,13 @@
     "{lines} log lines dropped: the reader of the log is too slow",
     "Check what reads standard output.",
 )
+METRICS_NOT_SERVED = Event(
+    "TR2109",
+    "metrics_not_served",
+    Level.WARNING,
+    "metrics are not served at port {port}: {error}",
+    "Name a free port in the deploy file.",
+)
 TASK_FAILED = Event(
     "TR2108",
     "task_failed",
@@ -140,6 +147,15 @@
     extra=("route", "attempts", "time_left_ms", "configuration", "configuration_age_s"),
 )
 
+REQUEST_FAILED = Event(
+    "TR2403",
+    "request_failed",
+    Level.WARNING,
+    "request {request} ended with {status} after {ms:.1f} ms: {reason}",
+    "Look at the tries of the request.",
+    extra=("route", "attempts", "time_left_ms", "configuration", "configuration_age_s"),
+)
+
 # Lots
 
 BATCH_ACCEPTED = Event(
@@ -152,8 +168,9 @@
 BATCH_REFUSED = Event(
     "TR2502",
     "batch_refused",
-    Level.INFO,
+    Level.WARNING,
     "lot {lot} answered with {status}: {reason}",
+    "Check the store if the reason is its silence.",
     extra=("retry_after_s", "store_age_s"),
 )
 BATCH_TAKEN = Event(
@@ -187,6 +204,14 @@
     "item {item} of lot {lot} at {target}: {outcome} after {ms:.0f} ms",
     extra=("events", "versions"),
 )
+ITEM_BROKEN = Event(
+    "TR2514",
+    "item_broken",
+    Level.WARNING,
+    "item {item} of lot {lot} at {target}: {outcome} after {ms:.0f} ms",
+    "Check the target if it is frequent.",
+    extra=("events", "versions"),
+)
 ITEM_SCORED = Event(
     "TR2509",
     "item_scored",
