Move long items to faster engines, divide engines from the start, shorten the lease's wait

Change: a running item goes on after its last event at a faster engine with a free slot; engines are divided once the configuration is known; the lease counts from the forerunner's last possible order; a coordinator without the store for 1.8 s is replaced. Ruled out: capacity; a quarter of the slots was in use.

--- a/tests/builders/fleet_world.py
+++ b/tests/builders/fleet_world.py
@@ -231,13 +231,17 @@
 
     async def start(self):
         """Start the program and wait until it is ready."""
+        await self.launch()
+        await eventually(self.is_ready, timeout_s=15.0)
+
+    async def launch(self):
+        """Start the program."""
         self.settings_file.write_text(json.dumps(self.document()))
         environment = {**os.environ, "TURMERICREACH_NODE_FILE": str(self.settings_file)}
         with self.log_file.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, str(PROGRAM), "gateway", env=environment, stdout=log, stderr=log
             )
-        await eventually(self.is_ready, timeout_s=15.0)
 
     async def is_ready(self):
         """Return whether the ready check succeeds."""
--- a/tests/node/test_lots.py
+++ b/tests/node/test_lots.py
@@ -291,3 +291,20 @@
     assert len(await world.read_all(gateway, "lot1", 1)) == 1
     assert other.registry.records["lot1"].owner == "g2"
     assert (await world.call(gateway, "DELETE", "/api/lots/lot1"))[0] == 200
+
+
+async def test_long_item_goes_on_at_a_faster_engine(world, gateway):
+    """Guards against an item whose text has a gap, or a repeat, where it was moved."""
+    slow, fast = world.targets["e1"], world.targets["e2"]
+    slow.event_s, fast.event_s = 0.12, 0.01
+    slow.events = fast.events = 40
+    fast.slots = 1
+    fast.on_change()
+    names = [f"i{number}" for number in range(6)]
+    document = submission([item(name, hint=400) for name in names])
+    await world.submit(gateway, "lot1", document)
+    results = await world.read_all(gateway, "lot1", 6, timeout_s=15.0)
+    for result in results:
+        expected = [f"{result['id']}-{number}" for number in range(1, 41)]
+        assert result["text"].split("\n") == expected
+    assert any(request.headers.get("last-event-id") for request in fast.arrivals)
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -29,6 +29,7 @@
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
     OLD_VERSION = "old version"
+    MOVED = "moved"
 
 
 @attrs.frozen
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -12,7 +12,7 @@
 from turmericreach.batches.scoring import ScorerCalls
 from turmericreach.http1 import ConnectionPool
 from turmericreach.metadata import MetadataError
-from turmericreach.placement import WaitingItem
+from turmericreach.placement import RunningItem, WaitingItem, expected_left
 from turmericreach.services import Route, Target
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
@@ -29,6 +29,8 @@
 NO_CONNECTION_PAUSE_S = 0.5
 SUSPECT_S = 3.0
 LOAD_RETRY_S = 0.2
+# A run shows its engine's speed before it is moved.
+MOVE_PAUSE_S = 0.3
 
 
 class ItemPhase(enum.StrEnum):
@@ -63,6 +65,14 @@
         Engines that refused it, with the loop time until which they are left out.
     target : str
         Engine at which it runs, or ran last.
+    started_at : float
+        Loop time at which its last run began.
+    task : asyncio.Task or None
+        Its last run.
+    move_to : Target or None
+        Engine at which it goes on.
+    moves : int
+        How often it has been moved.
     """
 
     item: BatchItem
@@ -73,6 +83,10 @@
     waiting_since: float = 0.0
     refused_by: dict[str, float] = attrs.field(factory=dict)
     target: str = ""
+    started_at: float = 0.0
+    task: asyncio.Task | None = None
+    move_to: Target | None = None
+    moves: int = 0
 
 
 class BatchRun:
@@ -175,6 +189,13 @@
         self.listed_changed.set()
         log_event(events.BATCH_LEFT, lot=self.spec.id, reason=reason)
 
+    def is_active(self) -> bool:
+        """Return whether items wait for an engine or run at one."""
+        if self.stopped or not self.loaded:
+            return False
+        active = (ItemPhase.WAITING, ItemPhase.RUNNING)
+        return any(state.phase in active for state in self.states.values())
+
     def is_finished(self) -> bool:
         """Return whether all items are listed."""
         return len(self.log.results) >= len(self.states)
@@ -222,7 +243,7 @@
     def remaining_events(self, state: ItemState) -> float:
         """Return the expected number of events that are still to be made."""
         expected = state.item.expected_tokens / self.tokens_per_event
-        return max(expected - len(state.progress.events), 1.0)
+        return expected_left(expected, len(state.progress.events))
 
     def group_events(self, group: str) -> float:
         """Return the expected number of events that a group still lacks."""
@@ -234,6 +255,34 @@
                 total += self.remaining_events(state)
         return total
 
+    def running_items(self, now: float) -> list[RunningItem]:
+        """Return the items that run and may go on elsewhere."""
+        found = []
+        for state in self.states.values():
+            if state.phase is not ItemPhase.RUNNING or not state.progress.events:
+                continue
+            if now - state.started_at < MOVE_PAUSE_S or state.move_to is not None:
+                continue
+            found.append(
+                RunningItem(
+                    lot=self.spec.id,
+                    item=state.item.id,
+                    model=self.spec.model,
+                    min_version=self.spec.min_version,
+                    engine=state.target,
+                    left_events=self.remaining_events(state),
+                    moves=state.moves,
+                )
+            )
+        return found
+
+    def move(self, item_id: str, target: Target) -> None:
+        """Let an item go on at another engine after its last event."""
+        state = self.states[item_id]
+        state.move_to = target
+        state.moves += 1
+        state.task.cancel()
+
     def running_events(self, target_id: str) -> list[float]:
         """Return the expected events left of each item that runs at a target."""
         found = []
@@ -254,6 +303,7 @@
         state = self.states[item_id]
         state.phase = ItemPhase.RUNNING
         state.target = target.id
+        state.started_at = self.loop.time()
         target.in_flight += 1
         target.groups.add(state.item.group)
         log_event(
@@ -266,7 +316,7 @@
             in_flight=target.in_flight,
             waited_s=round(self.loop.time() - state.waiting_since, 3),
         )
-        self.spawn(self.run_once(state, target))
+        state.task = self.spawn(self.run_once(state, target))
 
     async def run_once(self, state: ItemState, target: Target) -> None:
         """Run an item once and decide how it goes on."""
@@ -281,11 +331,15 @@
         report = RunReport(ItemOutcome.BROKEN, "stopped")
         try:
             report = await run_item(state.item, state.progress, target, bounds, self.pool)
+        except asyncio.CancelledError:
+            if self.stopped or state.move_to is None:
+                raise
+            report = RunReport(ItemOutcome.MOVED, f"to {state.move_to.id}")
         finally:
             target.in_flight -= 1
-            whole = report.outcome is ItemOutcome.WHOLE
+            intended = report.outcome in (ItemOutcome.WHOLE, ItemOutcome.MOVED)
             log_event(
-                events.ITEM_STOPPED if whole else events.ITEM_BROKEN,
+                events.ITEM_STOPPED if intended else events.ITEM_BROKEN,
                 item=state.item.id,
                 lot=self.spec.id,
                 target=target.id,
@@ -303,7 +357,10 @@
         state.phase = ItemPhase.WAITING
         state.waiting_since = now
         outcome = report.outcome
-        if outcome is ItemOutcome.WHOLE:
+        move_to, state.move_to = state.move_to, None
+        if outcome is ItemOutcome.MOVED:
+            self.begin(state.item.id, move_to)
+        elif outcome is ItemOutcome.WHOLE:
             target.failures = 0
             self.begin_scoring(state)
         elif outcome is ItemOutcome.NOT_RUN:
@@ -472,11 +529,12 @@
             found[state.item.id] = state.progress
         return found
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine that ends with the lot."""
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.task_done)
+        return task
 
     def task_done(self, task: asyncio.Task) -> None:
         """Forget a task; log an unexpected end."""
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from turmericreach.batches.run import BatchRun
-from turmericreach.placement import EngineState, plan_starts
+from turmericreach.placement import EngineState, RunningItem, plan_moves, plan_starts
 from turmericreach.placement.engines import DEFAULT_EVENT_S
 from turmericreach.services import Target, TargetDirectory
 
@@ -41,9 +41,9 @@
     async def run(self) -> None:
         """Plan whenever something has changed, until cancelled."""
         while True:
-            waiting = self.dispatch()
+            active = self.dispatch()
             self.wakeup.clear()
-            if not waiting:
+            if not active:
                 await self.wakeup.wait()
                 continue
             try:
@@ -62,24 +62,45 @@
         return found
 
     def dispatch(self) -> bool:
-        """Start what can start and return whether items are left that wait."""
+        """Start and move what should be; return whether items wait or run."""
         now = asyncio.get_running_loop().time()
-        left = False
-        by_service: dict[str, list] = {}
+        services: dict[str, list[BatchRun]] = {}
         for run in self.runs.values():
-            items = run.waiting_items(now)
-            for item in items:
-                service = run.route.services[0].service
-                by_service.setdefault(service, []).append(item)
-            left = left or any(state.phase == "waiting" for state in run.states.values())
-        for service, items in by_service.items():
-            targets = {target.id: target for target in self.directory.of_service(service)}
-            engines = [
-                engine_state(target, self.busy_s(target), now) for target in targets.values()
-            ]
-            for start in plan_starts(items, engines, self.division):
+            services.setdefault(run.route.services[0].service, []).append(run)
+        active = False
+        for service, runs in services.items():
+            active = self.dispatch_service(service, runs, now) or active
+        return active
+
+    def dispatch_service(self, service: str, runs: list[BatchRun], now: float) -> bool:
+        """Start and move the items of the lots of a service; return whether there are any."""
+        targets = {target.id: target for target in self.directory.of_service(service)}
+        waiting = [item for run in runs for item in run.waiting_items(now)]
+        if waiting:
+            for start in plan_starts(waiting, self.engines(targets, now), self.division):
                 self.runs[start.item.lot].begin(start.item.item, targets[start.engine])
-        return left
+        running = [item for run in runs for item in run.running_items(now)]
+        if running:
+            for move in plan_moves(running, self.own_engines(targets, running, now)):
+                self.runs[move.item.lot].move(move.item.item, targets[move.engine])
+        return any(run.is_active() for run in runs)
+
+    def engines(self, targets: dict[str, Target], now: float) -> list[EngineState]:
+        """Return the targets as placement sees them."""
+        return [engine_state(target, self.busy_s(target), now) for target in targets.values()]
+
+    def own_engines(
+        self, targets: dict[str, Target], running: list[RunningItem], now: float
+    ) -> list[EngineState]:
+        """Return the targets that serve the models of the running items."""
+        models = {item.model for item in running}
+        own = {
+            target_id: target
+            for target_id, target in targets.items()
+            if self.division.get(target_id) in {None, *models}
+            or any(item.engine == target_id for item in running)
+        }
+        return self.engines(own, now)
 
 
 def engine_state(target: Target, busy_s: list[float], now: float) -> EngineState:
--- a/turmericreach/coordination/duty.py
+++ b/turmericreach/coordination/duty.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from turmericreach.coordination.names import DUTY_NAME, OWN_KIND
-from turmericreach.coordination.peers import PeerTable
+from turmericreach.coordination.peers import COORDINATOR_STORE_AGE_S, PeerTable
 from turmericreach.metadata import Conflict, MetadataClient, MetadataError, StoredObject
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
@@ -98,7 +98,7 @@
             return "" if mine and self.token is not None else "restarted"
         if now - self.started_at < START_PAUSE_S:
             return ""
-        if holder is not None and self.peers.can_write(holder, now):
+        if holder is not None and self.peers.can_write(holder, now, COORDINATOR_STORE_AGE_S):
             return ""
         if self.peers.owner_for(DUTY_NAME) != self.host:
             return ""
@@ -127,8 +127,11 @@
             return
         self.token = object.revision
         self.object_changed(object)
-        pause_s = self.lease_s + LEASE_MARGIN_S if former not in (None, self.host) else 0.0
-        self.first_order_at = asyncio.get_running_loop().time() + pause_s
+        now = asyncio.get_running_loop().time()
+        self.first_order_at = now
+        if former not in (None, self.host):
+            last_order_at = self.peers.last_possible_order(former, now)
+            self.first_order_at = max(last_order_at + self.lease_s + LEASE_MARGIN_S, now)
         self.dropped.clear()
         self.taken.set()
         log_event(
@@ -136,7 +139,7 @@
             fencing=self.token,
             former=former,
             reason=reason,
-            first_order_in_s=pause_s,
+            first_order_in_s=round(self.first_order_at - now, 3),
         )
 
     async def verified_token(self) -> int | None:
--- a/turmericreach/coordination/messages.py
+++ b/turmericreach/coordination/messages.py
@@ -29,6 +29,8 @@
         Revision of the newest change that it has seen, by kind of object.
     event_s : dict of str to float
         Seconds an event that it has seen at targets.
+    order_age_s : float
+        Seconds since its last order to a target.
     """
 
     host: str
@@ -38,6 +40,7 @@
     cores: float = 1.0
     changes: dict[str, int] = attrs.field(factory=dict)
     event_s: dict[str, float] = attrs.field(factory=dict)
+    order_age_s: float = 1e9
 
 
 @attrs.frozen
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -36,6 +36,11 @@
 STORE_AGE_S = 3.0
 # A lot is given only to a process that the store has answered within this time.
 FRESH_STORE_AGE_S = 1.4
+# A coordinator that the store has not answered for this long is replaced; another one is in
+# contact meanwhile.
+COORDINATOR_STORE_AGE_S = 1.8
+# From the store's answer to an order until the order has reached its target.
+ORDER_MARGIN_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -89,6 +94,8 @@
         Host that coordinates, as far as known.
     asked_by_coordinator_at : float
         Loop time at which the coordinator last asked for this process's status.
+    last_order_at : float
+        Loop time at which this process last ordered a target.
     """
 
     def __init__(
@@ -106,6 +113,7 @@
         self.directory: TargetDirectory | None = None
         self.coordinator: str | None = None
         self.asked_by_coordinator_at = float("-inf")
+        self.last_order_at = float("-inf")
         self.pings: set[asyncio.Task] = set()
 
     # Registration
@@ -159,8 +167,25 @@
             cores=self.cores,
             changes={kind: mirror.last_change for kind, mirror in self.mirrors.items()},
             event_s=self.own_event_s(),
+            order_age_s=min(asyncio.get_running_loop().time() - self.last_order_at, 1e9),
         )
 
+    def last_possible_order(self, host: str, now: float) -> float:
+        """Return the loop time at which a former coordinator may have ordered last.
+
+        It orders only while the store answers it, and never once it is about to stop.
+        """
+        peer = self.peers.get(host)
+        if peer is None or peer.status is None:
+            return now
+        if peer.status.leaving:
+            return peer.heard_at - peer.status.order_age_s
+        if peer.silent_s(now) >= SILENCE_S:
+            return peer.heard_at + ORDER_MARGIN_S
+        if peer.status.store_age_s > FRESH_STORE_AGE_S:
+            return peer.heard_at - peer.status.store_age_s + ORDER_MARGIN_S
+        return now
+
     def own_event_s(self) -> dict[str, float]:
         """Return the seconds an event at the targets that this process uses."""
         if self.directory is None:
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -269,7 +269,12 @@
         self.duty.drop("stopping")
         await self.handover.give_all("stopping")
         await self.drain(began)
-        log_event(events.NODE_STOPPED, seconds=loop.time() - began, requests=self.callers.active)
+        log_event(
+            events.NODE_STOPPED,
+            seconds=loop.time() - began,
+            requests=self.callers.active,
+            store_calls=str(self.client.calls),
+        )
         await self.close()
 
     async def drain(self, began: float) -> None:
--- a/turmericreach/placement/__init__.py
+++ b/turmericreach/placement/__init__.py
@@ -4,15 +4,20 @@
 """
 
 from turmericreach.placement.engines import EngineState, Start, WaitingItem, plan_starts
+from turmericreach.placement.moves import Move, RunningItem, expected_left, plan_moves
 from turmericreach.placement.plain import choose_target, hedge_delay_s
 from turmericreach.placement.retry import retry_after_s
 
 __all__ = [
     "EngineState",
+    "Move",
+    "RunningItem",
     "Start",
     "WaitingItem",
     "choose_target",
+    "expected_left",
     "hedge_delay_s",
+    "plan_moves",
     "plan_starts",
     "retry_after_s",
 ]
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -32,7 +32,11 @@
     "stopping on {signal}: {requests} requests and {lots} lots in progress",
 )
 NODE_STOPPED = Event(
-    "TR2105", "node_stopped", Level.INFO, "stopped after {seconds:.2f} s, {requests} abandoned"
+    "TR2105",
+    "node_stopped",
+    Level.INFO,
+    "stopped after {seconds:.2f} s, {requests} abandoned",
+    extra=("store_calls",),
 )
 NODE_RELOADED = Event(
     "TR2106", "node_reloaded", Level.INFO, "settings read again: {outcome}", extra=("settings",)
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -101,7 +101,7 @@
     async def run(self) -> None:
         """Give orders as they become due, until cancelled."""
         while True:
-            if self.duty.token is not None and self.named and self.configuration is not None:
+            if self.duty.token is not None and self.configuration is not None:
                 await self.converge()
             self.changed.clear()
             try:
@@ -288,6 +288,7 @@
 
     async def send(self, order: LoadOrder, target: Target, token: int, expected: int) -> int | None:
         """Send an order and return the status of its answer, None if there is none."""
+        self.peers.last_order_at = asyncio.get_running_loop().time()
         message = wire.VersionOrder(order.model, order.version, self.host, token, expected)
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
