Fill equal engines evenly and try engines of unknown speed for moves

Change: among engines where an item would end alike, the emptier one is chosen; an engine that has not been measured counts with the usual speed.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -87,10 +87,12 @@
             return
         self.writers |= {writer, far_writer}
         try:
-            await asyncio.gather(
-                self.forward(reader, far_writer, forth=True),
-                self.forward(far_reader, writer, forth=False),
-            )
+            # The proxy ends its own links by cancelling them.
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(
+                    self.forward(reader, far_writer, forth=True),
+                    self.forward(far_reader, writer, forth=False),
+                )
         finally:
             for side in (writer, far_writer):
                 self.writers.discard(side)
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -123,6 +123,10 @@
             seconds -= SAME_GROUP_BONUS_S
         return seconds + (SUSPECT_PENALTY_S if self.state.suspect else 0.0)
 
+    def used_share(self) -> float:
+        """Return the share of the slots that are taken."""
+        return sum(at > 0.0 for at in self.free_at) / len(self.free_at)
+
     def event_s(self) -> float:
         """Return the seconds an event."""
         return self.state.event_s or DEFAULT_EVENT_S
@@ -221,13 +225,15 @@
     starts: list[Start] = []
     finish_s: dict[str, float] = {}
     for item in items:
-        best, best_s = None, 0.0
+        best, best_s, best_key = None, 0.0, None
         for plan in plans:
             if not plan.takes(item):
                 continue
             seconds = plan.finish_s(item)
-            if best is None or seconds < best_s:
-                best, best_s = plan, seconds
+            # Among equals the emptier one, so that all speeds are learned and one loss costs less.
+            key = (round(seconds, 2), plan.used_share())
+            if best is None or key < best_key:
+                best, best_s, best_key = plan, seconds, key
         if best is None:
             continue
         finish_s[item.lot] = max(finish_s.get(item.lot, 0.0), best_s)
--- a/turmericreach/placement/moves.py
+++ b/turmericreach/placement/moves.py
@@ -109,12 +109,12 @@
     best, best_s = None, here_s / MIN_SPEED_FACTOR
     for engine_id, slots in free.items():
         state = states[engine_id]
-        if slots <= 0 or engine_id == item.engine or not state.event_s:
+        if slots <= 0 or engine_id == item.engine:
             continue
         if state.versions.get(item.model, 0) < item.min_version:
             continue
-        if state.event_s < best_s:
-            best, best_s = engine_id, state.event_s
+        if event_s(state) < best_s:
+            best, best_s = engine_id, event_s(state)
     if best is None:
         return None
     gain_s = item.left_events * (here_s - best_s) - MOVE_COST_S
