--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -219,16 +219,23 @@
             return False
         return peer.silent_s(now) < max(SILENCE_S, SILENT_INTERVALS * self.interval_s(host))
 
-    def can_write(self, host: str, now: float, store_age_s: float = STORE_AGE_S) -> bool:
-        """Return whether a host lives, stays, and reaches the store."""
+    def reaches_store(self, host: str, now: float, store_age_s: float) -> bool:
+        """Return whether a host lives and the store has answered it recently."""
         if host == self.host:
-            return not self.leaving and self.client.contact_age_s() < store_age_s
+            return self.client.contact_age_s() < store_age_s
         if not self.is_alive(host, now):
             return False
         status = self.peers[host].status
-        if status is None:
-            return True
-        return not status.leaving and status.store_age_s < store_age_s
+        return status is None or status.store_age_s < store_age_s
+
+    def can_write(self, host: str, now: float, store_age_s: float = STORE_AGE_S) -> bool:
+        """Return whether a host lives, stays, and reaches the store."""
+        if not self.reaches_store(host, now, store_age_s):
+            return False
+        if host == self.host:
+            return not self.leaving
+        status = self.peers[host].status
+        return status is None or not status.leaving
 
     def writers(self, store_age_s: float = STORE_AGE_S) -> dict[str, float]:
         """Return the hosts that live, stay and reach the store, with their cores."""
--- a/turmericreach/coordination/relay.py
+++ b/turmericreach/coordination/relay.py
@@ -61,7 +61,8 @@
         host = self.peers.coordinator
         if host is None or host == self.peers.host or now < self.direct_until:
             return None
-        if not self.peers.can_write(host, now, MAX_AGE_S):
+        # One that is about to stop still relays, also who follows it.
+        if not self.peers.reaches_store(host, now, MAX_AGE_S):
             return None
         return self.peers.peers.get(host)
 
