Let followers leave a coordinator that no longer hears the store

It relayed until its copy was 2.2 s old, and held followers for 1.2 s more. Change: it relays only while the store has answered it within 1.4 s and ends the waits then; a follower gives up a silent coordinator after 1.3 s. Ruled out: a deaf watch; the watch of the coordinator was cut with all its calls. The test with a silent link failed before and passes now.

--- a/tests/builders/fleet_world.py
+++ b/tests/builders/fleet_world.py
@@ -112,6 +112,8 @@
         self.gateways: dict[str, Gateway] = {}
         self.tasks: dict[str, asyncio.Task] = {}
         self.pool = ConnectionPool(1.0)
+        # Other addresses of the store, by gateway.
+        self.store_addresses: dict[str, str] = {}
 
     async def start(self, config=None):
         """Start the store with a configuration."""
@@ -138,7 +140,9 @@
             ready_address=f"127.0.0.1:{free_port()}",
             peer_port=free_port(),
             metrics_port=free_port(),
-            store=StoreSettings(self.store.address, 4000.0, 4000.0, 1 << 20),
+            store=StoreSettings(
+                self.store_addresses.get(host, self.store.address), 4000.0, 4000.0, 1 << 20
+            ),
             timings=Timings(**{"grace_s": 4.0, "lease_s": 0.2, **timings}),
         )
 
--- /dev/null
+++ b/tests/coordination/test_relay.py
@@ -0,0 +1,96 @@
+"""Changes that followers get from the coordinator."""
+
+import asyncio
+import signal
+
+import pytest
+
+from tests.builders.faulty_proxy import FaultyProxy, LinkFault
+from tests.builders.fleet_world import FleetWorld, GatewayProgram, configuration, eventually
+
+# A configuration must be in force everywhere within this time.
+APPLY_S = 2.0
+
+
+@pytest.fixture
+async def world():
+    made = FleetWorld()
+    await made.start()
+    await made.add_target("p1", "portal")
+    yield made
+    await made.stop()
+
+
+async def start_gateways(world, *names):
+    """Start gateways and return the coordinator and the others."""
+    gateways = [await world.add_gateway(name) for name in names]
+    await eventually(lambda: any(gateway.duty.token for gateway in gateways))
+    coordinator = next(gateway for gateway in gateways if gateway.duty.token)
+    others = [gateway for gateway in gateways if gateway is not coordinator]
+    for gateway in others:
+        await eventually(lambda one=gateway: one.peers.coordinator == coordinator.settings.host)
+    return coordinator, others
+
+
+async def test_followers_learn_changes_without_calls_to_the_store(world):
+    """Guards against a call of every process for every change."""
+    _, followers = await start_gateways(world, "g1", "g2", "g3")
+    await asyncio.sleep(4.5)
+    before = [gateway.client.calls.get("watch", 0) for gateway in followers]
+    for version in range(2, 8):
+        world.store.put("config", "main", configuration(version))
+        await eventually(
+            lambda wanted=version: all(g.configuration.version() == wanted for g in followers), 1.0
+        )
+    after = [gateway.client.calls.get("watch", 0) for gateway in followers]
+    assert after == before
+
+
+async def test_followers_of_a_coordinator_without_the_store_go_to_the_store(world):
+    """Guards against a change that stays with a coordinator which does not hear of it.
+
+    Seen on mix --seed 341277705750 of silmalasi-reach: the coordinator was cut off from the store
+    without a word, and its followers waited at it for longer than a configuration may take.
+    """
+    proxies = {}
+    for name in ("g1", "g2", "g3"):
+        proxies[name] = FaultyProxy(world.store.address)
+        world.store_addresses[name] = await proxies[name].start()
+    coordinator, followers = await start_gateways(world, *proxies)
+    await asyncio.sleep(4.5)
+    proxies[coordinator.settings.host].set_fault(LinkFault.SILENCE)
+    await asyncio.sleep(0.1)
+    world.store.put("config", "main", configuration(2))
+    await eventually(lambda: all(g.configuration.version() == 2 for g in followers), APPLY_S)
+    for proxy in proxies.values():
+        await proxy.stop()
+
+
+async def test_followers_of_a_frozen_coordinator_go_to_the_store(world, tmp_path):
+    """Guards against followers that wait at a process which no longer answers."""
+    programs = [GatewayProgram(world, name, tmp_path) for name in ("g1", "g2")]
+    try:
+        for program in programs:
+            await program.start()
+
+        def coordinator():
+            for program in programs:
+                if any(event["event"] == "duty_taken" for event in program.events()):
+                    return program
+            return None
+
+        frozen = await eventually(coordinator)
+        follower = next(program for program in programs if program is not frozen)
+        await asyncio.sleep(4.5)
+        frozen.signal(signal.SIGSTOP)
+        world.store.put("config", "main", configuration(2))
+        await eventually(
+            lambda: any(
+                event["event"] == "configuration_applied" and event["fields"]["version"] == 2
+                for event in follower.events()
+            ),
+            APPLY_S,
+        )
+    finally:
+        for program in programs:
+            await program.end()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -4,8 +4,8 @@
 import signal
 from pathlib import Path
 
+from tests.builders.faulty_proxy import FaultyProxy
 from tests.builders.fleet_world import MODEL, FleetWorld, GatewayProgram
-from tests.soak.proxy import FaultyProxy
 from turmericreach_standins.fleet import TargetStandIn
 
 __all__ = ["EVENTS", "Deployment"]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from tests.builders.faulty_proxy import LinkFault
 from tests.soak.deployment import Deployment
-from tests.soak.proxy import LinkFault
 
 __all__ = ["FaultSeries"]
 
--- a/turmericreach/coordination/relay.py
+++ b/turmericreach/coordination/relay.py
@@ -15,12 +15,15 @@
 
 __all__ = ["RelaySource", "answer_watch"]
 
-# How long a follower waits at the coordinator. It is the longest time for which a coordinator
-# that has gone silent is not noticed.
-RELAY_WAIT_S = 1.2
-RELAY_MARGIN_S = 0.5
-# A copy that is older is not relayed.
-MAX_AGE_S = 2.2
+# How long a follower waits at the coordinator. With the margin, it is the longest time for which
+# a coordinator that has gone silent is not noticed.
+RELAY_WAIT_S = 0.9
+RELAY_MARGIN_S = 0.4
+# A coordinator that the store has not answered for this long relays nothing; a change must be in
+# force everywhere within two seconds.
+MAX_CONTACT_AGE_S = 1.4
+# A copy whose watch has not answered for this long is not relayed.
+MAX_COPY_AGE_S = 2.2
 # After a failure the store is asked for this long.
 RELAY_PAUSE_S = 1.0
 # So that a process that had to ask the store soon returns to the coordinator.
@@ -62,7 +65,7 @@
         if host is None or host == self.peers.host or now < self.direct_until:
             return None
         # One that is about to stop still relays, also who follows it.
-        if not self.peers.reaches_store(host, now, MAX_AGE_S):
+        if not self.peers.reaches_store(host, now, MAX_CONTACT_AGE_S):
             return None
         return self.peers.peers.get(host)
 
@@ -76,10 +79,21 @@
 async def answer_watch(
     mirror: KindMirror, client: MetadataClient, revision: int
 ) -> ChangePage | None:
-    """Return the changes for a follower, None if this process cannot vouch for them."""
-    if not client.in_contact() or mirror.age_s() > MAX_AGE_S:
-        return None
-    page = await mirror.page_after(revision, RELAY_WAIT_S)
-    if not client.in_contact() or mirror.age_s() > MAX_AGE_S:
+    """Return the changes for a follower, None if this process cannot vouch for them.
+
+    The wait ends as soon as the store's last answer is too old, so that a follower is not held
+    by a process that hears of no changes itself.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + RELAY_WAIT_S
+    while True:
+        fresh_s = MAX_CONTACT_AGE_S - client.contact_age_s()
+        if fresh_s <= 0 or mirror.age_s() > MAX_COPY_AGE_S:
+            return None
+        left_s = give_up_at - loop.time()
+        page = await mirror.page_after(revision, max(min(fresh_s, left_s), 0.0))
+        if page.changes or loop.time() >= give_up_at:
+            break
+    if client.contact_age_s() > MAX_CONTACT_AGE_S:
         return None
     return ChangePage(page.changes, page.revision, round(mirror.age_s(), 3))
--- a/turmericreach/metadata/mirror.py
+++ b/turmericreach/metadata/mirror.py
@@ -145,7 +145,8 @@
 
         A watch that does not tell it soon is deaf, and is asked anew.
         """
-        if self.revision is None or revision <= self.revision:
+        up_to_date = self.revision is None or revision <= self.revision
+        if up_to_date or not self.source.available.is_set():
             self.missed_since = None
             return
         now = asyncio.get_running_loop().time()
