Ask again sooner for orders without an answer

Change: an order is given up after 0.5 s and looked into after 0.3 s; its condition makes a late copy do nothing. Ruled out: a lease that was waited out, the duty did not change then.

--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -28,12 +28,13 @@
 __all__ = ["VersionConverger"]
 
 CHECK_INTERVAL_S = 0.1
-ORDER_TIMEOUT_S = 1.0
+# An order is answered at once; a late answer costs no more than asking again under its condition.
+ORDER_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 0.6
 # A load takes 0.9 s; longer while several targets load.
 LOAD_S = 1.0
 # An order whose outcome is not known is looked into after this long.
-UNKNOWN_PAUSE_S = 0.8
+UNKNOWN_PAUSE_S = 0.3
 BUSY_PAUSE_S = 0.3
 # A trainer submits its lot just after it has named a version; items take the free slots first.
 ARRIVAL_PAUSE_S = 0.15
