--- a/tests/node/test_log_output.py
+++ b/tests/node/test_log_output.py
@@ -45,3 +45,15 @@
     assert [line["line"] for line in lines[1:]] == [0, 1]
     os.close(reading)
     os.close(writing)
+
+
+def test_each_write_holds_whole_lines():
+    """Guards against lines of several programs that are mixed in one pipe."""
+    output = LogOutput(1)
+    for number in range(100):
+        output.write(f'{{"line": {number}, "padding": "{"x" * 200}"}}\n')
+    written = []
+    while output.lines:
+        written.append(output.next_batch())
+    assert all(len(data) <= 4096 and data.endswith(b"}\n") for data in written)
+    assert sum(data.count(b"\n") for data in written) == 100
--- a/tests/node/test_lots.py
+++ b/tests/node/test_lots.py
@@ -280,6 +280,28 @@
     assert len(await world.read_all(gateway, "lot1", 1)) == 1
 
 
+async def test_lot_runs_on_where_it_is_while_the_store_is_away_for_all(world, gateway):
+    """Guards against text that is thrown away because no process reaches the store.
+
+    Seen on trouble-1 of silmalasi-reach: the owner gave its lot away while the store was down,
+    nobody could take it, and an item of 155 events began anew twice.
+    """
+    other = await world.add_gateway("g2")
+    await eventually(lambda: gateway.peers.peers and gateway.peers.peers["g2"].status)
+    world.store.put("servers", "e2", world.targets["e2"].entry("draining"))
+    world.targets["e1"].event_s = 0.1
+    world.targets["e1"].events = 60
+    await world.submit(gateway, "lot1", submission(items("i1")))
+    await eventually(lambda: "lot1" in {**gateway.scheduler.runs, **other.scheduler.runs})
+    await asyncio.sleep(0.5)
+    world.store.faults.refuse = True
+    await asyncio.sleep(4.0)
+    world.store.faults.refuse = False
+    [result] = await world.read_all(other, "lot1", 1, timeout_s=12.0)
+    assert len(result["text"].split("\n")) == 60
+    assert len(world.targets["e1"].runs) == 1
+
+
 async def test_call_at_a_process_without_the_store_is_passed_on(world, gateway):
     """Guards against refusing a lot that another process can accept."""
     other = await world.add_gateway("g2")
--- a/turmericreach/batches/handover.py
+++ b/turmericreach/batches/handover.py
@@ -17,6 +17,8 @@
 WRITE_TIMEOUT_S = 0.8
 # Without an answer from the store for this long, lots are given to processes that have one.
 STORE_SILENCE_S = 1.2
+# By so much another process's last answer from the store must be newer.
+NEWER_CONTACT_S = 0.7
 
 
 def owner_subject(model: str) -> str:
@@ -42,24 +44,39 @@
 
     async def give_all(self, reason: str) -> None:
         """Give the lots that are run here to other processes, with their text so far."""
-        hosts = self.peers.writers(FRESH_STORE_AGE_S)
-        hosts.pop(self.peers.host, None)
+        hosts = self.receivers()
         if not hosts:
             return
         records = self.registry.owned()
         await asyncio.gather(*(self.give(record, hosts, reason) for record in records))
 
+    def receivers(self) -> dict[str, float]:
+        """Return the hosts that can take lots, with their cores.
+
+        A host must have been answered by the store after this one was: while the store is away
+        for all, the lots stay where they run.
+        """
+        hosts = self.peers.writers(FRESH_STORE_AGE_S)
+        hosts.pop(self.peers.host, None)
+        last_contact = self.peers.client.last_contact
+        found = {}
+        for host, cores in hosts.items():
+            newer_s = self.peers.last_contact_of(host) - last_contact
+            if self.peers.leaving or newer_s > NEWER_CONTACT_S:
+                found[host] = cores
+        return found
+
     async def give(self, record: BatchRecord, hosts: dict[str, float], reason: str) -> None:
-        """Give one lot to the first process that takes it; run it on here if none does."""
-        progress = self.registry.release(record.lot, reason)
-        message = HandOver(record, progress)
+        """Give one lot to the first process that takes it; it runs on here until one has."""
+        lot = record.lot
         left = dict(hosts)
         while left:
             successor = choose_owner(owner_subject(record.model), left)
             del left[successor]
+            message = HandOver(record, self.registry.progress_of(lot))
             if await self.peers.tell(successor, "/peer/take", message):
+                self.registry.release(lot, reason)
                 return
-        self.registry.resume(record.lot)
 
     async def take(self, message: HandOver) -> bool:
         """Take a lot that its owner hands over; return whether it is owned now."""
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -236,23 +236,17 @@
         with contextlib.suppress(MetadataError):
             await self.fetch(lot)
 
-    def release(self, lot: str, reason: str) -> dict[str, Progress]:
-        """Stop running a lot, for another process, and return the text of its unlisted items."""
-        self.given[lot] = self.records[lot].revision
-        run = self.scheduler.runs.pop(lot, None)
-        if run is None:
-            return {}
-        progress = run.progress_so_far()
-        self.keep(progress)
-        run.stop(reason)
-        return progress
+    def progress_of(self, lot: str) -> dict[str, Progress]:
+        """Return the text so far of the unlisted items of a lot that is run here."""
+        run = self.scheduler.runs.get(lot)
+        return {} if run is None else run.progress_so_far()
 
-    def resume(self, lot: str) -> None:
-        """Run a lot again that no other process has taken."""
-        self.given.pop(lot, None)
+    def release(self, lot: str, reason: str) -> None:
+        """Stop running a lot that another process has taken."""
         record = self.records.get(lot)
-        if record is not None:
-            self.reconcile(record)
+        if record is not None and record.owner == self.host:
+            self.given[lot] = record.revision
+        self.stop_run(lot, reason)
 
     def keep(self, progress: dict[str, Progress]) -> None:
         """Keep text that another lot, or another owner of the lot, may go on from."""
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -39,6 +39,7 @@
 # A coordinator that the store has not answered for this long is replaced; another one is in
 # contact meanwhile.
 COORDINATOR_STORE_AGE_S = 1.8
+RETURN_PAUSE_S = 1.5
 # From the store's answer to an order until the order has reached its target.
 ORDER_MARGIN_S = 1.0
 
@@ -226,7 +227,17 @@
         if not self.is_alive(host, now):
             return False
         status = self.peers[host].status
-        return status is None or status.store_age_s < store_age_s
+        if status is None or status.store_age_s < store_age_s:
+            return True
+        # After an outage for all, the others need a moment to tell that they are answered again.
+        return now - self.client.regained_at < RETURN_PAUSE_S
+
+    def last_contact_of(self, host: str) -> float:
+        """Return the loop time at which the store last answered another host."""
+        status = self.peers[host].status
+        if status is None:
+            return float("-inf")
+        return self.peers[host].heard_at - status.store_age_s
 
     def can_write(self, host: str, now: float, store_age_s: float = STORE_AGE_S) -> bool:
         """Return whether a host lives, stays, and reaches the store."""
--- a/turmericreach/node/log_output.py
+++ b/turmericreach/node/log_output.py
@@ -19,7 +19,8 @@
 ROUTINE_BURST_LINES = 4000.0
 ROUTINE_MARKS = ('"level": "info"', '"level": "debug"')
 FLUSH_INTERVAL_S = 0.1
-BATCH_BYTES = 1 << 16
+# Writes of up to this size to a pipe are not mixed with those of others (PIPE_BUF).
+BATCH_BYTES = 4096
 CLOSE_TIMEOUT_S = 1.0
 
 
@@ -95,14 +96,19 @@
 
     def next_batch(self) -> bytes:
         """Return the bytes to write next."""
-        parts, size = [], 0
+        parts: list[bytes] = []
+        size = 0
         if self.dropped:
-            parts.append(self.dropped_line())
-        while self.lines and size < BATCH_BYTES:
-            text = self.lines.popleft()
+            parts.append(self.dropped_line().encode())
+            size = len(parts[0])
+        while self.lines:
+            text = self.lines[0].encode("utf-8", "replace")
+            if parts and size + len(text) > BATCH_BYTES:
+                break
+            self.lines.popleft()
             size += len(text)
             parts.append(text)
-        return "".join(parts).encode("utf-8", "replace")
+        return b"".join(parts)
 
     def dropped_line(self) -> str:
         """Return a line that tells how many lines were dropped."""
