--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -62,7 +62,7 @@
     await asyncio.sleep(0.2)
     name_version(world, 3)
     await eventually(lambda: versions(world) == [3, 3], 10.0)
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(2.5)
     assert versions(world) == [3, 3]
 
 
--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -11,6 +11,9 @@
 
 __all__ = ["TargetFaults", "TargetStandIn"]
 
+# An order without an answer is carried out this much later.
+LATE_ORDER_S = 2.0
+
 
 @attrs.define
 class TargetFaults:
@@ -37,7 +40,7 @@
     unframed : bool
         Send answers without a length, ended by the channel.
     lose_orders : int
-        Next orders that are carried out after a second and get no answer.
+        Next orders that are carried out after `LATE_ORDER_S` and get no answer.
     """
 
     lose_answers: int = 0
@@ -249,7 +252,7 @@
         order = json.loads(request.body)
         if self.faults.lose_orders > 0:
             self.faults.lose_orders -= 1
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(LATE_ORDER_S)
             self.carry_out(order)
             await request.disconnected.wait()
             return
