--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -243,6 +243,12 @@
     json.loads(capsys.readouterr().out)
 
 
+def test_unknown_subject_has_an_exit_code_of_its_own(gateway, capsys):
+    """Guards against a script that takes silence for a request without problems."""
+    gateway.answers["GET /v1/explain/nothing"] = []
+    assert main(["explain", "nothing"]) == ExitCode.NOT_FOUND
+
+
 def test_weights_row(gateway, capsys):
     """Guards against a wanted version that is shown as active."""
     main(["weights", "--output", "json"])
--- a/turmericreach/cli/decisions.py
+++ b/turmericreach/cli/decisions.py
@@ -44,11 +44,12 @@
         return explain_from_logs(subject, logs, context, output)
     async with api.connect() as connection:
         rows = await OperatorClient(connection).explain(subject)
-    if not any(row["request_id"] for row in rows):
+    known = any(row["request_id"] for row in rows)
+    if not known:
         note(f"no live daemon remembers {subject}; each keeps its last 4096 requests")
     parts = [attempt_table(key, group) for key, group in by_attempt(rows).items()]
     show(output, rows, *parts)
-    return ExitCode.OK
+    return ExitCode.OK if known else ExitCode.NOT_FOUND
 
 
 def explain_from_logs(subject: str, logs: list[Path], context: bool, output: Output) -> int:
