Tell former owners of a lot's new owner, and read lots again when the store returns

A former owner was told nothing of the change: the coordinator told the new owner only, and an owner whose hand-over was taken without a word, or that had been cut off, went on answering from its own list. Two tests show each case and failed before. Ruled out: the list in the store, which is read whole where a position is not known; positions, which never changed. Change: the coordinator tells the owner, the former owner and the first owner, each in a task of its own, until they answer; an owner reads its lots again after the store's return before it answers.

--- a/tests/node/test_lots.py
+++ b/tests/node/test_lots.py
@@ -302,6 +302,48 @@
     assert len(world.targets["e1"].runs) == 1
 
 
+async def test_former_owner_learns_that_another_process_owns_its_lot(world):
+    """Guards against a former owner that goes on showing its older list of results.
+
+    Seen once in 8 hunted days of qurum-gel-grown (hunt-428a-7, LOST 3): 47 results had been read,
+    and a read at another host showed none at position 46.
+    """
+    gateways = {name: await world.add_gateway(name) for name in ("h1", "h2", "h3")}
+    await eventually(lambda: any(gateway.duty.token for gateway in gateways.values()))
+    await eventually(lambda: all(len(g.peers.peers) == 2 for g in gateways.values()))
+    for name in ("e1", "e2"):
+        world.targets[name].event_s = 0.1
+        world.targets[name].events = 60
+    await world.submit(gateways["h1"], "lot1", submission(items("i1", "i2")))
+    await eventually(lambda: "lot1" in {n for g in gateways.values() for n in g.scheduler.runs})
+    owner = next(g for g in gateways.values() if "lot1" in g.scheduler.runs)
+    # The coordinator learns of the change; the former owner must be told by it.
+    other = next(g for g in gateways.values() if g is not owner)
+    status = {"owner": other.settings.host, "ended": False}
+    world.store.put("turmericreach-lots", "lot1", status=status)
+    await eventually(lambda: "lot1" in other.scheduler.runs, 2.0)
+    await eventually(lambda: "lot1" not in owner.scheduler.runs, 2.0)
+
+
+async def test_owner_reads_its_lots_again_when_the_store_returns(world, gateway):
+    """Guards against an owner that answers for a lot which others took during its cut."""
+    for name in ("e1", "e2"):
+        world.targets[name].event_s = 0.1
+        world.targets[name].events = 80
+    await world.submit(gateway, "lot1", submission(items("i1")))
+    await eventually(lambda: "lot1" in gateway.scheduler.runs)
+    world.store.faults.refuse = True
+    await eventually(lambda: not gateway.client.available.is_set())
+    status = {"owner": "another", "ended": False}
+    world.store.put("turmericreach-lots", "lot1", status=status)
+    world.store.compact()
+    world.store.faults.refuse = False
+    await eventually(gateway.client.available.is_set)
+    assert not gateway.may_vouch()
+    await eventually(gateway.may_vouch, 2.0)
+    assert gateway.registry.records["lot1"].owner == "another"
+
+
 async def test_call_at_a_process_without_the_store_is_passed_on(world, gateway):
     """Guards against refusing a lot that another process can accept."""
     other = await world.add_gateway("g2")
--- a/turmericreach/batches/handover.py
+++ b/turmericreach/batches/handover.py
@@ -27,21 +27,45 @@
 
 
 class LotHandOver:
-    """Gives lots to other processes, and takes those that others give."""
+    """Gives lots to other processes, and takes those that others give.
+
+    Attributes
+    ----------
+    checked_at : float
+        Return of the store after which the lots run here were last read again.
+    """
 
     def __init__(self, registry: BatchRegistry, peers: PeerTable):
         self.registry = registry
         self.peers = peers
+        self.checked_at = float("-inf")
 
     async def run(self) -> None:
         """Give lots away while the store answers only others, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if self.checked_at < self.peers.client.regained_at:
+                await self.check_lots()
             if self.peers.leaving or self.peers.client.in_contact():
                 continue
             if self.peers.client.contact_age_s() > STORE_SILENCE_S:
                 await self.give_all("the store does not answer here")
 
+    async def check_lots(self) -> None:
+        """Read the lots that are run here again: others may have taken them meanwhile."""
+        regained_at = self.peers.client.regained_at
+        try:
+            for record in self.registry.owned():
+                await self.registry.fetch(record.lot)
+        except MetadataError:
+            # The next round asks again; until then this process does not answer for its lots.
+            return
+        self.checked_at = regained_at
+
+    def is_checked(self) -> bool:
+        """Return whether the lots run here have been read since the store was last away."""
+        return self.checked_at >= self.peers.client.regained_at
+
     async def give_all(self, reason: str) -> None:
         """Give the lots that are run here to other processes, with their text so far."""
         hosts = self.receivers()
@@ -77,6 +101,8 @@
             if await self.peers.tell(successor, "/peer/take", message):
                 self.registry.release(lot, reason)
                 return
+        # One of them may have taken it without a word.
+        self.registry.check_owner(lot)
 
     async def take(self, message: HandOver) -> bool:
         """Take a lot that its owner hands over; return whether it is owned now."""
--- a/turmericreach/batches/supervisor.py
+++ b/turmericreach/batches/supervisor.py
@@ -25,29 +25,43 @@
 
     Attributes
     ----------
-    unheard : dict of str to BatchRecord
-        Lots whose owner has not been told their present state.
+    unheard : dict of tuple of str to BatchRecord
+        Lots, by lot and host, whose present state a host has not been told.
+    telling : dict of tuple of str to asyncio.Task
+        Hosts that are being told.
     """
 
     def __init__(self, registry: BatchRegistry, peers: PeerTable, lifetime_s: float):
         self.registry = registry
         self.peers = peers
         self.lifetime_s = lifetime_s
-        self.unheard: dict[str, BatchRecord] = {}
+        self.unheard: dict[tuple[str, str], BatchRecord] = {}
+        self.telling: dict[tuple[str, str], asyncio.Task] = {}
         self.wakeup = asyncio.Event()
 
     def object_changed(self, object: StoredObject) -> None:
-        """Take a lot's object and tell its owner."""
+        """Take a lot's object and tell those whom it concerns."""
+        former = self.registry.records.get(object.name)
         self.registry.object_changed(object)
         record = self.registry.records.get(object.name)
-        if record is None or record.owner == self.peers.host:
-            return
-        self.unheard[record.lot] = record
+        if record is not None:
+            self.note_unheard(record, former)
+
+    def note_unheard(self, record: BatchRecord, former: BatchRecord | None) -> None:
+        """Note that the owner, and those who may take themselves for it, must be told."""
+        hosts = {record.owner}
+        if former is not None:
+            hosts.add(former.owner)
+        if record.object is not None:
+            hosts.add(record.object.spec["owner"])
+        for host in hosts - {self.peers.host}:
+            self.unheard[record.lot, host] = record
         self.wakeup.set()
 
     def object_removed(self, object: StoredObject) -> None:
         """Forget a lot."""
-        self.unheard.pop(object.name, None)
+        for key in [key for key in self.unheard if key[0] == object.name]:
+            del self.unheard[key]
         self.registry.object_removed(object)
 
     async def run(self) -> None:
@@ -55,7 +69,7 @@
         loop = asyncio.get_running_loop()
         collect_at = loop.time() + COLLECT_INTERVAL_S
         while True:
-            await self.tell_owners()
+            self.tell_hosts()
             await self.replace_owners()
             if loop.time() >= collect_at:
                 collect_at = loop.time() + COLLECT_INTERVAL_S
@@ -67,17 +81,27 @@
             except TimeoutError:
                 continue
 
-    async def tell_owners(self) -> None:
-        """Tell owners of their lots, those who did not answer again."""
-        pending = list(self.unheard.values())
-        await asyncio.gather(*(self.notify(record, record.owner) for record in pending))
+    def tell_hosts(self) -> None:
+        """Tell hosts of their lots, those who did not answer again.
 
-    async def notify(self, record: BatchRecord, host: str) -> None:
+        Each is told by a task of its own, so that one that does not answer delays no other.
+        """
+        loop = asyncio.get_running_loop()
+        for key, record in list(self.unheard.items()):
+            if key[1] not in self.peers.peers:
+                del self.unheard[key]
+                continue
+            if key not in self.telling:
+                self.telling[key] = loop.create_task(self.tell(key, record))
+
+    async def tell(self, key: tuple[str, str], record: BatchRecord) -> None:
         """Tell a host the state of a lot."""
-        told = await self.peers.tell(host, "/peer/lot", LotNotice(record.brief()))
-        current = self.unheard.get(record.lot)
-        if told and current is not None and current.revision == record.revision:
-            del self.unheard[record.lot]
+        try:
+            told = await self.peers.tell(key[1], "/peer/lot", LotNotice(record.brief()))
+        finally:
+            del self.telling[key]
+        if told and self.unheard.get(key) is record:
+            del self.unheard[key]
 
     async def replace_owners(self) -> None:
         """Give the lots of owners that are gone to others."""
@@ -107,9 +131,7 @@
             former=record.owner,
             revision=changed.revision,
         )
-        if changed.owner != self.peers.host:
-            self.unheard[record.lot] = changed
-            await self.notify(changed, changed.owner)
+        self.note_unheard(changed, record)
 
     async def collect(self) -> None:
         """Remove lots that nobody may read any more."""
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -186,6 +186,8 @@
 
     def may_vouch(self) -> bool:
         """Return whether this process can be sure that it still owns its lots."""
+        if not self.handover.is_checked():
+            return False
         if self.duty.token is not None or self.client.contact_age_s() < VOUCH_S:
             return True
         now = asyncio.get_running_loop().time()
