List results once in memory when a read meets an unanswered write

Cause: a read of the list while a write was under way took the new object, and the write took it again once it was answered, so that an item stood twice in the owner's memory.

--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -74,6 +74,19 @@
     assert [result.item for result in read.results] == ["a", "b"]
 
 
+async def test_reading_while_a_write_is_under_way_lists_results_once(client, store):
+    """Guards against results that stand twice in memory after a read met an unanswered write."""
+    log = BatchLog(client, "lot", "h1")
+    store.faults.lose_writes = 1
+    task = asyncio.create_task(log.append(results("a")))
+    await asyncio.sleep(0.1)
+    await log.load()
+    await task
+    assert [result.item for result in log.results] == ["a"]
+    await log.append(results("b"))
+    assert store.names("lot-lot") == ["000000", "000001"]
+
+
 async def test_late_segment_of_a_former_owner_changes_nothing(client, store):
     """Guards against a delayed write of a former owner that lands behind the new owner's."""
     former, owner = BatchLog(client, "lot", "h1"), BatchLog(client, "lot", "h2")
--- a/turmericreach/batches/log.py
+++ b/turmericreach/batches/log.py
@@ -73,7 +73,8 @@
         fresh = [result for result in results if result.item not in self.listed]
         if not fresh:
             return 0
-        name = f"{self.segments:06d}"
+        number = self.segments
+        name = f"{number:06d}"
         spec = {
             "writer": self.writer,
             "first": len(self.results),
@@ -83,7 +84,9 @@
             await self.client.create(segment_kind(self.lot), name, spec)
         except Conflict as error:
             raise LogTaken(name) from error
-        self.take(spec)
+        if self.segments == number:
+            # A read may have met the object before this call had its answer.
+            self.take(spec)
         return len(fresh)
 
     def take(self, spec: Any) -> None:
