Refuse lots larger than the store takes; drop fields that nothing reads

Cause: a lot over the store's largest object was answered 503 again and again, as if it might fit later; it gets 413 at once. Decoded fields of routes, services, engines and settings that no code reads are gone.

--- a/tests/builders/fleet_world.py
+++ b/tests/builders/fleet_world.py
@@ -63,7 +63,7 @@
         ],
         "limits": {
             "maxHeaderBytes": 4096,
-            "maxBodyBytes": 1 << 20,
+            "maxBodyBytes": 4 << 20,
             "headerTimeoutMs": 500,
             "idleTimeoutMs": 5000,
         },
--- a/tests/node/test_lots.py
+++ b/tests/node/test_lots.py
@@ -89,6 +89,12 @@
         assert status == 400
 
 
+async def test_lot_larger_than_the_store_takes_is_refused_for_good(world, gateway):
+    """Guards against a lot that is refused as if it might fit later."""
+    large = {**item("i1"), "body": base64.b64encode(b"x" * 800_000).decode()}
+    assert await world.submit(gateway, "lot1", submission([large])) == 413
+
+
 async def test_large_lot_is_run_whole(world, gateway):
     """Guards against lots with more items than slots."""
     names = [f"i{number}" for number in range(60)]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -132,7 +132,7 @@
     """Guards against an item that loses a part."""
     document = submission([item("i1", "g1", hint=70)], min_version=4, step=5)
     spec = lots.decode_submission("lot", "h", "/rollout/x", document)
-    assert (spec.step, spec.min_version, spec.model, spec.target_groups) == (5, 4, "m0", 1)
+    assert (spec.step, spec.min_version, spec.model) == (5, 4, "m0")
     [decoded] = spec.items
     assert (decoded.id, decoded.group, decoded.body) == ("i1", "g1", b"prompt i1")
     assert decoded.expected_tokens == 70
--- a/turmericreach/batches/model.py
+++ b/turmericreach/batches/model.py
@@ -75,8 +75,6 @@
         Model that generates its items.
     min_version : int
         Oldest version of the weights that may.
-    target_groups : int
-        Groups that the trainer waits for.
     items : tuple of BatchItem
         Its items.
     """
@@ -87,7 +85,6 @@
     step: int
     model: str
     min_version: int
-    target_groups: int
     items: tuple[BatchItem, ...]
 
 
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -81,7 +81,6 @@
         self.request = request
         self.started = False
         self.finished = False
-        self.chunked = False
 
     def send(self, status: int, fields: Iterable[tuple[str, str]] = (), body: bytes = b"") -> None:
         """Send a whole response."""
@@ -93,7 +92,6 @@
 
     def start(self, status: int, fields: Iterable[tuple[str, str]]) -> None:
         """Send the head of a response whose body follows in chunks."""
-        self.chunked = True
         self.write_head(status, [*fields, ("Transfer-Encoding", "chunked")])
 
     async def write(self, data: bytes) -> None:
--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -297,10 +297,10 @@
         if status == 410:
             raise HistoryGone(place)
         if status == 409:
-            raise Conflict(place, self.conflicting(call, body))
+            raise Conflict(place, self.conflicting(body))
         raise MetadataError(f"{place}: status {status} {body[:200]!r}")
 
-    def conflicting(self, call: wire.StoreCall, body: bytes) -> StoredObject | None:
+    def conflicting(self, body: bytes) -> StoredObject | None:
         """Return the object in a conflict's answer, if there is one."""
         try:
             return wire.decode_object_answer("", body)
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -137,7 +137,12 @@
 
     def make_servers(self) -> HttpServer:
         """Return the server of callers; make that of other processes."""
-        lot_api = LotApi(BatchCalls(self.registry, self.client), self.client, self.peers)
+        lot_api = LotApi(
+            BatchCalls(self.registry, self.client),
+            self.client,
+            self.peers,
+            self.settings.store.value_bytes,
+        )
         forwarder = Forwarder(self.directory, self.pool, self.settings.data_centre)
         caller_api = CallerApi(self.configuration, self.client, forwarder, lot_api)
         peer_api = PeerApi(
--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -34,13 +34,18 @@
 # A read at another process may take this much longer than it waits for results.
 READ_MARGIN_S = 1.0
 COORDINATOR_TIMEOUT_S = 0.3
+# What is stored of a lot besides its submission.
+RECORD_BYTES = 4096
 
 
 class LotApi:
     """Answers calls on lots, by itself or through the process that can."""
 
-    def __init__(self, calls: BatchCalls, client: MetadataClient, peers: PeerTable):
+    def __init__(
+        self, calls: BatchCalls, client: MetadataClient, peers: PeerTable, value_bytes: int
+    ):
         self.calls = calls
+        self.value_bytes = value_bytes
         self.registry = calls.registry
         self.client = client
         self.peers = peers
@@ -51,6 +56,9 @@
     async def submit(self, request: Request, responder: Responder) -> None:
         """Accept a lot, or pass it on to a process that reaches the store."""
         lot = attempt_head(request.headers).id
+        if len(request.body) + RECORD_BYTES > self.value_bytes:
+            self.refuse_submission(responder, lot, 413, "larger than the store takes", None)
+            return
         if not self.client.in_contact() and await self.pass_on(request, responder):
             return
         began = asyncio.get_running_loop().time()
--- a/turmericreach/node/settings.py
+++ b/turmericreach/node/settings.py
@@ -35,19 +35,13 @@
         From a request to stop until the process is killed.
     lease_s : float
         After the last order of one order giver until another may order.
-    drain_s : float
-        After a target is listed as draining until it takes no more requests.
     result_lifetime_s : float
         After its submission for which a lot's results are kept.
-    heartbeat_s : float
-        Between a target's updates of its entry.
     """
 
     grace_s: float = 8.0
     lease_s: float = 3.0
-    drain_s: float = 2.0
     result_lifetime_s: float = 120.0
-    heartbeat_s: float = 1.2
 
 
 @attrs.frozen
--- a/turmericreach/platform/documents.py
+++ b/turmericreach/platform/documents.py
@@ -97,7 +97,6 @@
         kind=KINDS.get(kind, RouteKind.UNSAFE),
         services=tuple(parts),
         timeout_s=timeout_s,
-        objective_s=fields.number("goalMs", 1000) / MS,
         max_attempts=max(fields.integer("maxAttempts", 2), 1),
         priority=fields.integer("priority", 0),
         resumable=fields.boolean("resumable", False),
@@ -114,8 +113,6 @@
         engine = decode_engine(fields.object("engine"))
     return Service(
         name=fields.text("name"),
-        health_path=fields.text("healthPath", "/health"),
-        max_connections=fields.integer("maxConns", 100),
         engine=engine,
     )
 
@@ -127,7 +124,6 @@
         models.append(Fields(value, fields.place("models")).text("name"))
     return EngineLimits(
         slots=fields.integer("slots", 1),
-        memory_tokens=fields.integer("kvCapacityTokens", 1 << 40),
         models=tuple(models),
         tokens_per_event=fields.number("stride", 1.0),
     )
--- a/turmericreach/platform/lots.py
+++ b/turmericreach/platform/lots.py
@@ -84,7 +84,6 @@
         step=fields.integer("step", 0),
         model=fields.text("model", ""),
         min_version=fields.integer("minVersion", 0),
-        target_groups=fields.integer("targetGroups", 0),
         items=tuple(items),
     )
 
--- a/turmericreach/platform/names.py
+++ b/turmericreach/platform/names.py
@@ -4,7 +4,6 @@
     "ATTEMPT_ID",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
-    "EXPECT_VERSION",
     "ITEMS_PATH",
     "LAST_EVENT_ID",
     "LENGTH_HINT",
@@ -14,7 +13,6 @@
     "OBJECTS_PATH",
     "ORDER_PATH",
     "PRIORITY",
-    "PROMPT_PREFIX",
     "READY_PATH",
     "REPORT_PATH",
     "RETRY_AFTER",
@@ -31,13 +29,11 @@
 ATTEMPT_ID = "X-Attempt-Id"
 DEADLINE_MS = "X-Deadline-Ms"
 EXPECT_INSTANCE = "X-Expect-Instance"
-EXPECT_VERSION = "X-Expect-Version"
 LAST_EVENT_ID = "Last-Event-Id"
 LENGTH_HINT = "X-Length-Hint"
 MODEL = "X-Model"
 NOT_EXECUTED = "X-Not-Executed"
 PRIORITY = "X-Request-Priority"
-PROMPT_PREFIX = "X-Prompt-Prefix"
 RETRY_AFTER = "Retry-After"
 SERVER_LOAD = "X-Server-Load"
 SERVER_STAMP = "X-Server-Stamp"
--- a/turmericreach/services/configuration.py
+++ b/turmericreach/services/configuration.py
@@ -53,8 +53,6 @@
         Where requests go; one entry unless the route is split.
     timeout_s : float
         Longest time that a caller is kept waiting.
-    objective_s : float
-        Time within which a response is on time.
     max_attempts : int
         Most targets that one attempt of a caller is sent to.
     priority : int
@@ -75,7 +73,6 @@
     kind: RouteKind
     services: tuple[WeightedService, ...]
     timeout_s: float = DEFAULT_TIMEOUT_S
-    objective_s: float = 1.0
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = 0
     resumable: bool = False
@@ -101,8 +98,6 @@
     ----------
     slots : int
         Requests processed at once.
-    memory_tokens : int
-        Tokens that running requests and kept prompt parts may fill.
     models : tuple of str
         Models that its targets serve.
     tokens_per_event : float
@@ -110,7 +105,6 @@
     """
 
     slots: int
-    memory_tokens: int
     models: tuple[str, ...] = ()
     tokens_per_event: float = 1.0
 
@@ -123,17 +117,11 @@
     ----------
     name : str
         Name.
-    health_path : str
-        Path of the health check.
-    max_connections : int
-        Connections that a target accepts from all callers together.
     engine : EngineLimits or None
         Limits of its engines, None for a plain service.
     """
 
     name: str
-    health_path: str = "/health"
-    max_connections: int = 100
     engine: EngineLimits | None = None
 
 
