Keep a score only with the call that gave it; forget lots that nobody asks for

Cause, found by reading: text that was kept from an ended lot kept its score although the item may return with another scorer; records and results of lots stayed in the memory of every process but the coordinator; a start of a lot that failed was neither logged nor forgotten.

--- a/turmericreach/batches/handover.py
+++ b/turmericreach/batches/handover.py
@@ -15,6 +15,8 @@
 
 CHECK_INTERVAL_S = 0.2
 WRITE_TIMEOUT_S = 0.8
+# Lots are read for two minutes after their submission; this is well beyond.
+UNUSED_S = 600.0
 # Without an answer from the store for this long, lots are given to processes that have one.
 STORE_SILENCE_S = 1.2
 # By so much another process's last answer from the store must be newer.
@@ -44,6 +46,7 @@
         """Give lots away while the store answers only others, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self.registry.forget_unused(UNUSED_S)
             if self.checked_at < self.peers.client.regained_at:
                 await self.check_lots()
             if self.peers.leaving or self.peers.client.in_contact():
--- a/turmericreach/batches/model.py
+++ b/turmericreach/batches/model.py
@@ -129,6 +129,8 @@
         Whether the text is complete.
     score : str
         What the scorer answered, empty if it has not been asked.
+    scorer : str
+        Id of the call that gave the score.
     """
 
     events: list[str] = attrs.field(factory=list)
@@ -136,6 +138,7 @@
     last_event_id: int | None = None
     whole: bool = False
     score: str = ""
+    scorer: str = ""
 
     def fits(self, min_version: int, single_version: bool) -> bool:
         """Return whether the text may be used under a lot's bounds."""
@@ -157,3 +160,4 @@
         self.last_event_id = None
         self.whole = False
         self.score = ""
+        self.scorer = ""
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -50,6 +50,8 @@
         Newest lot of each model.
     given : dict of str to int
         Lots handed to other processes, with the revision at which they were.
+    used_at : dict of str to float
+        Loop time at which each lot was last changed or read here.
     may_vouch : callable
         Returns whether this process can be sure that it still owns its lots.
     """
@@ -77,6 +79,7 @@
         self.arrivals: dict[str, ModelArrival] = {}
         self.starting: dict[str, asyncio.Task] = {}
         self.given: dict[str, int] = {}
+        self.used_at: dict[str, float] = {}
         self.checks: set[asyncio.Task] = set()
         self.may_vouch: Callable[[], bool] = lambda: True
 
@@ -100,6 +103,7 @@
             if known.object is None and record.object is not None:
                 self.records[record.lot] = attrs.evolve(known, object=record.object)
             return
+        self.used_at[record.lot] = asyncio.get_running_loop().time()
         if record.object is None and known is not None:
             record = attrs.evolve(record, object=known.object)
         if known is None and record.object is not None and not record.ended:
@@ -115,10 +119,26 @@
     def object_removed(self, object: StoredObject) -> None:
         """Forget a lot that was collected."""
         lot = object.name
+        self.stop_run(lot, "removed")
+        self.forget(lot)
+
+    def forget(self, lot: str) -> None:
+        """Drop all that is known of a lot."""
         self.records.pop(lot, None)
         self.given.pop(lot, None)
         self.logs.pop(lot, None)
-        self.stop_run(lot, "removed")
+        self.used_at.pop(lot, None)
+
+    def forget_unused(self, idle_s: float) -> None:
+        """Drop lots that are not run here and that nobody has asked for lately.
+
+        Only the coordinator hears of the removal of lots. One that is asked for again is read
+        from the store.
+        """
+        now = asyncio.get_running_loop().time()
+        for lot, used_at in list(self.used_at.items()):
+            if now - used_at > idle_s and lot not in self.scheduler.runs:
+                self.forget(lot)
 
     def reconcile(self, record: BatchRecord) -> None:
         """Start or stop a lot here as its record says."""
@@ -129,6 +149,7 @@
         if mine and not running:
             task = asyncio.get_running_loop().create_task(self.start_run(record))
             self.starting[record.lot] = task
+            task.add_done_callback(lambda done: self.start_done(record.lot, done))
         elif running and not mine:
             self.stop_run(record.lot, "ended" if record.ended else f"owned by {record.owner}")
 
@@ -136,27 +157,35 @@
 
     async def start_run(self, record: BatchRecord) -> None:
         """Start a lot here once its object and its route are known."""
-        try:
-            if record.object is None:
-                record = await self.read_whole(record.lot)
-            if record is None:
-                return
-            run = await self.make_run(record)
-            if run is None:
-                return
-            self.scheduler.runs[record.lot] = run
-            await run.start(self.kept)
-            log_event(
-                events.BATCH_TAKEN,
-                lot=record.lot,
-                listed=len(run.log.results),
-                items=len(run.states),
-                reason="owner in the store",
-                former_owner=record.owner,
-                revision=record.revision,
-            )
-        finally:
-            self.starting.pop(record.lot, None)
+        if record.object is None:
+            record = await self.read_whole(record.lot)
+        if record is None:
+            return
+        run = await self.make_run(record)
+        if run is None:
+            return
+        self.scheduler.runs[record.lot] = run
+        await run.start(self.kept)
+        log_event(
+            events.BATCH_TAKEN,
+            lot=record.lot,
+            listed=len(run.log.results),
+            items=len(run.states),
+            reason="owner in the store",
+            first_owner=record.object.spec["owner"],
+            revision=record.revision,
+        )
+
+    def start_done(self, lot: str, task: asyncio.Task) -> None:
+        """Forget a start that has ended; log an unexpected end."""
+        if self.starting.get(lot) is task:
+            del self.starting[lot]
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        log_event(
+            events.TASK_FAILED, task=f"start of {lot}", error=f"{type(error).__name__}: {error}"
+        )
 
     async def read_whole(self, lot: str) -> BatchRecord | None:
         """Return a lot with its object; None if it is gone or not run here any more."""
@@ -257,6 +286,7 @@
 
     def log_of(self, lot: str) -> BatchLog:
         """Return the log of a lot; there is one a process."""
+        self.used_at[lot] = asyncio.get_running_loop().time()
         log = self.logs.get(lot)
         if log is None:
             log = BatchLog(self.client, lot, f"{self.host}/{self.incarnation}")
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -166,6 +166,10 @@
             return
         if not progress.fits(self.spec.min_version, self.route.single_version):
             return
+        scorer = state.item.scorer
+        if scorer is None or progress.scorer != scorer.id:
+            # The same item may return with another call that scores it.
+            progress.score = ""
         state.progress = progress
         if progress.whole:
             self.begin_scoring(state)
@@ -392,6 +396,7 @@
             self.give_up(state, "its scorer failed")
             return
         state.progress.score = result.stamp
+        state.progress.scorer = state.item.scorer.id
         self.complete(state)
 
     def complete(self, state: ItemState) -> None:
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -182,7 +182,7 @@
     "batch_taken",
     Level.INFO,
     "lot {lot} is run here, {listed} of {items} items are listed",
-    extra=("reason", "former_owner", "revision"),
+    extra=("reason", "first_owner", "revision"),
 )
 BATCH_LEFT = Event("TR2504", "batch_left", Level.INFO, "lot {lot} is no longer run here: {reason}")
 BATCH_ENDED = Event(
