Wait for a listening port that is in use; give each test process a loopback address of its own

So the gateway, too, had a fault: it ended with a traceback and no JSON line. - The session test: another process polled the port at which the test's server listened. Reproduced beside a process that opens 4000 connections a second to such ports: 4 of 160 cases failed with the reported "2 == 1" connections and the right number of arrivals. Ruled out: the library's own retry (it would be counted as an arrival). Change: a gateway tries an address in use again for 2 s, then ends with exit code 3 and the event node_not_listening. Test processes listen at an address of 127.0.0.0/8 of their own, and there is one builder of free ports for the tests. The tests and their bounds are unchanged. The test of the retry fails with a retry time of zero.

--- a/tests/builders/fleet_world.py
+++ b/tests/builders/fleet_world.py
@@ -5,12 +5,11 @@
 import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import sys
 from pathlib import Path
 
+from tests.builders.loopback import LOOPBACK, free_port
 from turmericreach.http1 import ConnectionPool
 from turmericreach.node.gateway import Gateway
 from turmericreach.node.settings import NodeSettings, StoreSettings, Timings
@@ -18,30 +17,9 @@
 
 HOST = "models.example"
 MODEL = "m0"
-PORTS = (12_000, 30_000)
-taken_ports: set[int] = set()
 PROGRAM = Path(__file__).parents[2] / "deploy" / "turmericreach_node.py"
 
 
-def free_port() -> int:
-    """Return a port that nobody listens at.
-
-    It lies below the range from which outgoing connections take theirs, so that none of them
-    takes it before the program that it is meant for.
-    """
-    while True:
-        port = random.randrange(*PORTS)
-        if port in taken_ports:
-            continue
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        taken_ports.add(port)
-        return port
-
-
 def route(name, prefix, kind, service, **fields):
     """Return a route as an operator writes it."""
     return {
@@ -150,9 +128,9 @@
             host=host,
             role="gateway",
             data_centre="a",
-            ip="127.0.0.1",
-            caller_address=f"127.0.0.1:{free_port()}",
-            ready_address=f"127.0.0.1:{free_port()}",
+            ip=LOOPBACK,
+            caller_address=f"{LOOPBACK}:{free_port()}",
+            ready_address=f"{LOOPBACK}:{free_port()}",
             peer_port=free_port(),
             metrics_port=free_port(),
             store=StoreSettings(
@@ -223,8 +201,8 @@
         self.host = host
         self.settings_file = folder / f"{host}.json"
         self.log_file = folder / f"{host}.log"
-        self.front = f"127.0.0.1:{free_port()}"
-        self.ready = f"127.0.0.1:{free_port()}"
+        self.front = f"{LOOPBACK}:{free_port()}"
+        self.ready = f"{LOOPBACK}:{free_port()}"
         self.ports = [free_port(), free_port()]
         self.process: asyncio.subprocess.Process | None = None
 
@@ -235,7 +213,7 @@
             "role": "gateway",
             "machineClass": "front",
             "serves": ["front"],
-            "ip": "127.0.0.1",
+            "ip": LOOPBACK,
             "zone": "a",
             "listen": {"front": self.front, "ready": self.ready},
             "portRange": self.ports,
@@ -263,7 +241,9 @@
             )
 
     async def is_ready(self):
-        """Return whether the ready check succeeds."""
+        """Return whether the ready check succeeds; fail if the program has ended."""
+        if self.process.returncode is not None:
+            raise AssertionError(f"{self.host} ended: {self.log_file.read_text()[-2000:]}")
         try:
             status, _, _ = await self.world.call(self.ready, "GET", "/api/ready")
         except Exception:
--- a/tests/builders/gateways.py
+++ b/tests/builders/gateways.py
@@ -2,28 +2,21 @@
 
 import asyncio
 import contextlib
-import socket
 
 import msgspec
 
+from tests.builders.loopback import LOOPBACK
 from turmericreach.api import DeclareAnswer, PullAnswer
 from turmericreach.lots import Cursor, Sample
 from turmericreach.verdicts import Segment
 
-__all__ = ["DROP", "TRUNCATE", "ScriptedGateway", "error", "free_port", "sample"]
+__all__ = ["DROP", "TRUNCATE", "ScriptedGateway", "error", "sample"]
 
 # Answers that are no answers: the connection closes before, or in the middle of, the body.
 DROP = object()
 TRUNCATE = object()
 
 
-def free_port():
-    """Return a port on which nothing listens."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def sample(spec, ordinal, version=1):
     """Build a finished sample of a lot."""
     group, index = divmod(ordinal, spec.samples_per_group)
@@ -56,9 +49,9 @@
         self.ready = list(range(spec.size))
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.url = f"http://127.0.0.1:{self.port}"
+        self.url = f"http://{LOOPBACK}:{self.port}"
         return self
 
     async def __aexit__(self, *exc):
--- /dev/null
+++ b/tests/builders/loopback.py
@@ -0,0 +1,28 @@
+"""A loopback address that only this test process uses.
+
+Ports of 127.0.0.1 are shared with whatever runs beside the tests: another test run takes a port
+between its choice and its use, or polls one at which a server of this run listens in the meantime.
+Linux answers at all of 127.0.0.0/8.
+"""
+
+import ipaddress
+import os
+import socket
+
+__all__ = ["LOOPBACK", "free_port"]
+
+# Process ids have at most 22 bits, so that each process has an address of its own.
+LOOPBACK = str(ipaddress.IPv4Address("127.64.0.0") + os.getpid())
+chosen_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a port of `LOOPBACK` at which nothing listens, a new one at each call."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((LOOPBACK, 0))
+            port = probe.getsockname()[1]
+        if port in chosen_ports:
+            continue
+        chosen_ports.add(port)
+        return port
--- a/tests/builders/rawserver.py
+++ b/tests/builders/rawserver.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from tests.builders.loopback import LOOPBACK
+
 __all__ = ["RawServer"]
 
 HEAD_END = b"\r\n\r\n"
@@ -34,8 +36,8 @@
         self.connection_lost = asyncio.Event()
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, 0)
+        self.url = f"http://{LOOPBACK}:{self.server.sockets[0].getsockname()[1]}"
         return self
 
     async def __aexit__(self, *exc):
--- a/tests/client/test_trainer.py
+++ b/tests/client/test_trainer.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from tests.builders.gateways import DROP, TRUNCATE, ScriptedGateway, error, free_port, ok, sample
+from tests.builders.gateways import DROP, TRUNCATE, ScriptedGateway, error, ok, sample
+from tests.builders.loopback import LOOPBACK, free_port
 from tests.builders.lots import make_spec
 from turmericreach.api import PullAnswer
 from turmericreach.client import ApiConnection, ApiError, TrainerClient
@@ -180,7 +181,7 @@
 
 async def test_failover_leaves_the_failed_gateway():
     """Guards against two failing calls that each move on and so come back to the failed one."""
-    dead = f"http://127.0.0.1:{free_port()}"
+    dead = f"http://{LOOPBACK}:{free_port()}"
     async with ScriptedGateway(SPEC) as gateway, ApiConnection([dead, gateway.url]) as connection:
         calls = [connection.call("GET", "/x") for _ in range(2)]
         results = await asyncio.gather(*calls, return_exceptions=True)
--- a/tests/node/test_metrics_page.py
+++ b/tests/node/test_metrics_page.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from tests.builders.fleet_world import eventually, free_port, item, submission
+from tests.builders.fleet_world import eventually, item, submission
+from tests.builders.loopback import free_port
 from turmericreach.node.gateway import Gateway
 from turmericreach.telemetry.metrics import MetricType
 from turmericreach.telemetry.node_metrics import NODE_METRICS
--- a/tests/node/test_programs.py
+++ b/tests/node/test_programs.py
@@ -4,12 +4,15 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 
 import pytest
 
 from tests.builders.fleet_world import PROGRAM, GatewayProgram, eventually, item, submission
+from tests.builders.loopback import LOOPBACK
+from turmericreach.node.main import EXIT_NOT_LISTENING
 
 
 @pytest.fixture
@@ -153,3 +156,33 @@
     finally:
         process.kill()
         process.wait()
+
+
+async def test_program_waits_for_a_port_that_another_socket_holds(world, tmp_path):
+    """Guards against a start that fails because a connection took the port a moment before.
+
+    Seen in tests/coordination/test_relay.py: the program ended with a traceback, "address already
+    in use", and its test waited for it until its time was up.
+    """
+    program = GatewayProgram(world, "g1", tmp_path)
+    with socket.socket() as holder:
+        holder.bind((LOOPBACK, program.ports[0]))
+        await program.launch()
+        await eventually(lambda: "address_in_use" in [e["event"] for e in program.events()])
+    await eventually(program.is_ready)
+    await program.end()
+
+
+async def test_program_ends_with_a_log_line_if_a_port_stays_taken(world, tmp_path):
+    """Guards against an end that no JSON line explains."""
+    program = GatewayProgram(world, "g1", tmp_path)
+    with socket.socket() as holder:
+        holder.bind((LOOPBACK, program.ports[0]))
+        holder.listen()
+        await program.launch()
+        async with asyncio.timeout(8):
+            assert await program.process.wait() == EXIT_NOT_LISTENING
+    last = program.events()[-1]
+    assert last["event"] == "node_not_listening"
+    assert last["fields"]["address"] == f"{LOOPBACK}:{program.ports[0]}"
+    assert "Traceback" not in program.log_file.read_text()
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -19,6 +19,7 @@
 from turmericreach.node.configuration import ConfigurationHolder
 from turmericreach.node.coordinator import Coordinator
 from turmericreach.node.forwarder import Forwarder
+from turmericreach.node.listening import start_listening
 from turmericreach.node.lot_api import LotApi
 from turmericreach.node.metrics_page import MetricsPage
 from turmericreach.node.peer_api import PeerApi
@@ -201,7 +202,13 @@
     # Life
 
     async def run(self) -> None:
-        """Serve until a signal asks to stop."""
+        """Serve until a signal asks to stop.
+
+        Raises
+        ------
+        NotListening
+            If an address of the settings cannot be listened at.
+        """
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         log_event(
@@ -215,9 +222,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.ask_to_stop, number.name)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.ready_checks.start(self.settings.ready_address)
-        await self.peer_calls.start(self.peers.address)
-        await self.callers.start(self.settings.caller_address)
+        await start_listening(self.ready_checks, self.settings.ready_address)
+        await start_listening(self.peer_calls, self.peers.address)
+        await start_listening(self.callers, self.settings.caller_address)
         await self.serve_metrics()
         self.start_tasks()
         await self.stopping.wait()
--- a/turmericreach/node/main.py
+++ b/turmericreach/node/main.py
@@ -10,12 +10,14 @@
 from turmericreach.node.standby import run_standby
 from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.settings import load_settings, settings_path
-from turmericreach.telemetry import configure_logging
+from turmericreach.telemetry import configure_logging, log_event
+from turmericreach.telemetry import node_events as events
 from turmericreach.telemetry.log import EVENT_LOG
 
 __all__ = ["run"]
 
 EXIT_USAGE = 2
+EXIT_NOT_LISTENING = 3
 USAGE = "usage: turmericreach_node.py gateway [--metrics-port PORT] | standby"
 
 
@@ -50,6 +52,7 @@
 def run_gateway(settings: NodeSettings) -> int:
     """Run the program on hosts that callers reach."""
     from turmericreach.node.gateway import Gateway
+    from turmericreach.node.listening import NotListening
 
     output = LogOutput(sys.stdout.fileno())
     output.start()
@@ -59,6 +62,11 @@
     async def serve() -> None:
         await Gateway(settings).run()
 
-    asyncio.run(serve())
-    output.close()
+    try:
+        asyncio.run(serve())
+    except NotListening as error:
+        log_event(events.NODE_NOT_LISTENING, address=error.address, reason=error.reason)
+        return EXIT_NOT_LISTENING
+    finally:
+        output.close()
     return 0
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -55,6 +55,20 @@
     "metrics are not served at port {port}: {error}",
     "Name a free port in the deploy file.",
 )
+ADDRESS_IN_USE = Event(
+    "TR2110",
+    "address_in_use",
+    Level.WARNING,
+    "{address} is in use; tried again for {seconds:.1f} s",
+    "Check what else runs on the host.",
+)
+NODE_NOT_LISTENING = Event(
+    "TR2111",
+    "node_not_listening",
+    Level.ERROR,
+    "not started, {address} cannot be listened at: {reason}",
+    "Free the port or correct the settings; the process has ended.",
+)
 TASK_FAILED = Event(
     "TR2108",
     "task_failed",
