Read the settings again on SIGHUP and when their file changes

Cause: a gateway logged "settings read again" on SIGHUP and read nothing; a change without a signal was not noticed at all, although the platform may write the file at any time. Change: node/settings_watch.py reads the file on the signal and every 2 s. Rates and address of the store, times and the processor share take effect at once; names and addresses wait for a restart, and the log line says so. A file that is not usable leaves the former settings in force. Ruled out: a watch by inotify, which needs a library of its own for one small file. Before: test_settings_watch.py fails (no part takes a new setting). After: its 5 tests pass.

--- /dev/null
+++ b/tests/node/test_settings_watch.py
@@ -0,0 +1,120 @@
+"""Settings that change while the process runs."""
+
+import json
+import signal
+
+import attrs
+import pytest
+
+from tests.builders.fleet_world import GatewayProgram, eventually
+from turmericreach.node.settings import Timings
+from turmericreach.node.settings_watch import POLL_S, SettingsWatch
+from turmericreach.platform.decoding import DecodeError
+from turmericreach.telemetry.log import EVENT_LOG
+
+
+@pytest.fixture
+async def program(world, tmp_path):
+    made = GatewayProgram(world, "g1", tmp_path)
+    await made.start()
+    yield made
+    await made.end()
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the fields of each event, by its name."""
+    found = {}
+
+    def take(event, fields):
+        found.setdefault(event.name, []).append(fields)
+
+    monkeypatch.setattr(EVENT_LOG, "listeners", [*EVENT_LOG.listeners, take])
+    return found
+
+
+def rewrite(program, **changes):
+    """Change parts of a program's settings file."""
+    document = program.document()
+    for name, value in changes.items():
+        document[name] = {**document[name], **value}
+    program.settings_file.write_text(json.dumps(document))
+
+
+def reloads(program):
+    """Return the fields of the program's events of a reload."""
+    return [event["fields"] for event in program.events() if event["event"] == "node_reloaded"]
+
+
+async def test_signal_puts_changed_settings_in_force(program):
+    """Guards against a reload that is logged but changes nothing."""
+    rewrite(program, platform={"writesPerS": 900}, bounds={"leaseMs": 700})
+    program.signal(signal.SIGHUP)
+    (fields,) = await eventually(lambda: reloads(program))
+    assert fields["trigger"] == "SIGHUP"
+    assert fields["outcome"] == "store, timings in force"
+    assert "writes_per_s=900" in fields["settings"]
+    assert "lease_s=0.7" in fields["settings"]
+    assert await program.is_ready()
+
+
+async def test_file_that_changes_without_a_signal_is_read(program):
+    """Guards against settings that stay old because no signal tells of their change."""
+    rewrite(program, listen={"front": "127.0.0.1:1"}, bounds={"graceS": 3})
+    (fields,) = await eventually(lambda: reloads(program), 3 * POLL_S)
+    assert fields["trigger"] == "poll"
+    assert fields["outcome"] == "timings in force; caller_address after a restart"
+    assert program.front in fields["settings"]
+
+
+async def test_unusable_file_leaves_the_former_settings_in_force(program):
+    """Guards against a process that ends, or falls back to defaults, on a file half written."""
+    program.settings_file.write_text('{"node": "g1"')
+    program.signal(signal.SIGHUP)
+
+    def problems():
+        return [e["fields"] for e in program.events() if e["event"] == "settings_unreadable"]
+
+    (fields,) = await eventually(problems)
+    assert "no JSON" in fields["problem"]
+    assert await program.is_ready()
+    rewrite(program)
+    program.signal(signal.SIGHUP)
+    (fields,) = await eventually(lambda: reloads(program))
+    assert fields["outcome"] == "nothing changed"
+
+
+async def test_parts_take_the_new_settings(world):
+    """Guards against a setting that is said to be in force and reaches no part."""
+    gateway = await world.add_gateway("g1")
+    former = gateway.settings
+    store = attrs.evolve(
+        former.store, writes_per_s=100.0, reads_per_s=50.0, value_bytes=5000, address="127.0.0.1:1"
+    )
+    changed = attrs.evolve(former, store=store, timings=Timings(5.0, 1.5, 60.0), cores=0.25)
+    gateway.settings_watch.read = lambda: changed
+    gateway.settings_watch.reload("poll")
+    assert gateway.settings.timings.grace_s == 5.0
+    assert gateway.client.address == "127.0.0.1:1"
+    assert gateway.client.writes.per_s < 100.0
+    assert gateway.client.reads.per_s < 50.0
+    assert gateway.lot_api.value_bytes == 5000
+    assert gateway.duty.lease_s == 1.5
+    assert gateway.coordinator.lifetime_s == 60.0
+    assert gateway.peers.cores == 0.25
+
+
+async def test_poll_logs_a_problem_once(world, logged):
+    """Guards against a log line every two seconds while a file stays unusable."""
+    settings = world.settings("g1")
+
+    def read():
+        raise DecodeError("no JSON")
+
+    watch = SettingsWatch(settings, read, lambda settings: None)
+    for trigger in ("poll", "poll", "SIGHUP", "poll"):
+        watch.reload(trigger)
+    assert [fields["trigger"] for fields in logged["settings_unreadable"]] == ["poll", "SIGHUP"]
+    watch.read = lambda: settings
+    watch.reload("poll")
+    assert "node_reloaded" not in logged
--- a/turmericreach/metadata/budget.py
+++ b/turmericreach/metadata/budget.py
@@ -13,10 +13,14 @@
     """
 
     def __init__(self, per_s: float):
-        self.per_s = max(per_s, 1.0)
+        self.set_rate(per_s)
         self.tokens = self.per_s
         self.updated_at = 0.0
 
+    def set_rate(self, per_s: float) -> None:
+        """Set the calls a second; tokens beyond a second's worth are lost with the next call."""
+        self.per_s = max(per_s, 1.0)
+
     def delay_s(self, now: float) -> float:
         """Take a token and return the seconds to wait before the call."""
         elapsed = max(now - self.updated_at, 0.0)
--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -74,6 +74,12 @@
         self.calls: dict[str, int] = {}
         self.random = random.Random()
 
+    def configure(self, address: str, writes_per_s: float, reads_per_s: float) -> None:
+        """Use another address or other rates from the next call on."""
+        self.address = address
+        self.writes.set_rate(writes_per_s * BUDGET_SHARE)
+        self.reads.set_rate(reads_per_s * BUDGET_SHARE)
+
     def contact_age_s(self) -> float:
         """Return the seconds since the last answer."""
         return asyncio.get_running_loop().time() - self.last_contact
--- a/turmericreach/node/coordinator.py
+++ b/turmericreach/node/coordinator.py
@@ -35,6 +35,13 @@
         self.peers = peers
         self.converger = converger
         self.lifetime_s = lifetime_s
+        self.supervisor: LotSupervisor | None = None
+
+    def set_result_lifetime(self, lifetime_s: float) -> None:
+        """Set for how long results are kept after a lot's submission."""
+        self.lifetime_s = lifetime_s
+        if self.supervisor is not None:
+            self.supervisor.lifetime_s = lifetime_s
 
     async def run(self) -> None:
         """Coordinate whenever the duty is held, until cancelled."""
@@ -50,6 +57,7 @@
     def start(self, group: TaskGroup) -> None:
         """Start the tasks of the duty."""
         supervisor = LotSupervisor(self.registry, self.peers, self.lifetime_s)
+        self.supervisor = supervisor
         retirements = Retirements(self.duty, self.client)
         listeners = {
             LOTS_KIND: supervisor,
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import uuid
+from collections.abc import Callable
 
 from turmericreach.batches.calls import BatchCalls
 from turmericreach.batches.handover import LotHandOver
@@ -24,6 +25,7 @@
 from turmericreach.node.metrics_page import MetricsPage
 from turmericreach.node.peer_api import PeerApi
 from turmericreach.node.settings import NodeSettings
+from turmericreach.node.settings_watch import SettingsWatch
 from turmericreach.node.supervision import TaskGroup
 from turmericreach.node.target_watch import TargetWatch
 from turmericreach.platform import store as store_wire
@@ -53,8 +55,13 @@
 class Gateway:
     """Serves callers, runs lots, and coordinates when it holds that duty."""
 
-    def __init__(self, settings: NodeSettings):
+    def __init__(
+        self, settings: NodeSettings, read_settings: Callable[[], NodeSettings] | None = None
+    ):
         self.settings = settings
+        self.settings_watch = SettingsWatch(
+            settings, read_settings or (lambda: settings), self.apply_settings
+        )
         self.incarnation = uuid.uuid4().hex[:12]
         store = settings.store
         self.client = MetadataClient(store.address, store.writes_per_s, store.reads_per_s)
@@ -138,14 +145,14 @@
 
     def make_servers(self) -> HttpServer:
         """Return the server of callers; make that of other processes."""
-        lot_api = LotApi(
+        self.lot_api = LotApi(
             BatchCalls(self.registry, self.client),
             self.client,
             self.peers,
             self.settings.store.value_bytes,
         )
         forwarder = Forwarder(self.directory, self.pool, self.settings.data_centre)
-        caller_api = CallerApi(self.configuration, self.client, forwarder, lot_api)
+        caller_api = CallerApi(self.configuration, self.client, forwarder, self.lot_api)
         peer_api = PeerApi(
             self.peers,
             self.mirrors,
@@ -221,7 +228,7 @@
         )
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.ask_to_stop, number.name)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self.settings_watch.reload, signal.SIGHUP.name)
         await start_listening(self.ready_checks, self.settings.ready_address)
         await start_listening(self.peer_calls, self.peers.address)
         await start_listening(self.callers, self.settings.caller_address)
@@ -252,6 +259,7 @@
         self.tasks.start("items", self.scheduler.run)
         self.tasks.start("hand-over", self.handover.run)
         self.tasks.start("coordinator", self.coordinator.run)
+        self.tasks.start("settings", self.settings_watch.run)
 
     async def take_part(self) -> None:
         """Make this process known to the others, then watch who coordinates."""
@@ -259,9 +267,15 @@
         await self.peers.register()
         await self.duty.run()
 
-    def reload(self) -> None:
-        """Note that the settings may have changed; addresses need a restart."""
-        log_event(events.NODE_RELOADED, outcome="kept until a restart", settings=str(self.settings))
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Put settings in force that do not need a restart."""
+        self.settings = settings
+        store = settings.store
+        self.client.configure(store.address, store.writes_per_s, store.reads_per_s)
+        self.lot_api.value_bytes = store.value_bytes
+        self.duty.lease_s = settings.timings.lease_s
+        self.coordinator.set_result_lifetime(settings.timings.result_lifetime_s)
+        self.peers.cores = settings.cores
 
     def ask_to_stop(self, signal_name: str) -> None:
         """Begin to stop."""
--- a/turmericreach/node/main.py
+++ b/turmericreach/node/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 
 import attrs
 
@@ -32,12 +33,16 @@
     if port is None:
         print(USAGE, file=sys.stderr)
         return EXIT_USAGE
+
+    def read_settings() -> NodeSettings:
+        return attrs.evolve(load_settings(settings_path()), metrics_port=port)
+
     try:
-        settings = load_settings(settings_path())
+        settings = read_settings()
     except DecodeError as error:
         print(f"settings: {error}", file=sys.stderr)
         return EXIT_USAGE
-    return run_gateway(attrs.evolve(settings, metrics_port=port))
+    return run_gateway(settings, read_settings)
 
 
 def metrics_port(arguments: list[str]) -> int | None:
@@ -49,7 +54,7 @@
     return int(arguments[2]) if arguments[2].isdigit() else None
 
 
-def run_gateway(settings: NodeSettings) -> int:
+def run_gateway(settings: NodeSettings, read_settings: Callable[[], NodeSettings]) -> int:
     """Run the program on hosts that callers reach."""
     from turmericreach.node.gateway import Gateway
     from turmericreach.node.listening import NotListening
@@ -60,7 +65,7 @@
     configure_logging("info", settings.host, output)
 
     async def serve() -> None:
-        await Gateway(settings).run()
+        await Gateway(settings, read_settings).run()
 
     try:
         asyncio.run(serve())
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -39,7 +39,18 @@
     extra=("store_calls",),
 )
 NODE_RELOADED = Event(
-    "TR2106", "node_reloaded", Level.INFO, "settings read again: {outcome}", extra=("settings",)
+    "TR2106",
+    "node_reloaded",
+    Level.INFO,
+    "settings read again: {outcome}",
+    extra=("trigger", "settings"),
+)
+SETTINGS_UNREADABLE = Event(
+    "TR2112",
+    "settings_unreadable",
+    Level.ERROR,
+    "settings not read again on {trigger}: {problem}",
+    "Correct the file; the former settings stay in force.",
 )
 LOG_LINES_DROPPED = Event(
     "TR2107",
