Wait for the store's return itself, not for a poll, in the test of re-read lots

Ruled out: an owner that vouches too early; the check compares with the time of the return, which is set in the same step. The new test asserts in the first step after the return, which is stricter.

--- a/tests/node/test_lots.py
+++ b/tests/node/test_lots.py
@@ -344,7 +344,8 @@
     world.store.put("turmericreach-lots", "lot1", status=status)
     world.store.compact()
     world.store.faults.refuse = False
-    await eventually(gateway.client.available.is_set)
+    # Not polled: the lots may be read again within one interval of a poll.
+    await asyncio.wait_for(gateway.client.available.wait(), 8.0)
     assert not gateway.may_vouch()
     await eventually(gateway.may_vouch, 2.0)
     assert gateway.registry.records["lot1"].owner == "another"
