--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -4,26 +4,21 @@
 
 import pytest
 
+from tests.builders.metadata_store import client_of, running_store
 from turmericreach.batches.log import BatchLog, LogTaken
 from turmericreach.batches.model import ItemResult
-from turmericreach.metadata import MetadataClient
-from turmericreach_standins.fleet import StoreStandIn
 
 
 @pytest.fixture
 async def store():
-    made = StoreStandIn()
-    await made.start()
-    yield made
-    await made.stop()
+    async with running_store() as made:
+        yield made
 
 
 @pytest.fixture
 async def client(store):
-    made = MetadataClient(store.address, 10_000, 10_000)
-    made.call_timeout_s = 0.2
-    yield made
-    made.close()
+    with client_of(store) as made:
+        yield made
 
 
 def results(*names):
--- a/tests/metadata/test_client.py
+++ b/tests/metadata/test_client.py
@@ -5,25 +5,20 @@
 import pytest
 
 from tests.builders.fleet_world import eventually
-from turmericreach.metadata import Conflict, KindMirror, MetadataClient, OutcomeUnknown, Unavailable
-from turmericreach_standins.fleet import StoreStandIn
+from tests.builders.metadata_store import client_of, running_store
+from turmericreach.metadata import Conflict, KindMirror, OutcomeUnknown, Unavailable
 
 
 @pytest.fixture
 async def store():
-    made = StoreStandIn()
-    await made.start()
-    yield made
-    await made.stop()
+    async with running_store() as made:
+        yield made
 
 
 @pytest.fixture
 async def client(store):
-    made = MetadataClient(store.address, 10_000, 10_000)
-    made.call_timeout_s = 0.2
-    made.available.set()
-    yield made
-    made.close()
+    with client_of(store) as made:
+        yield made
 
 
 def soon():
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -17,6 +17,7 @@
     "versions",
     "coordination",
     "batches.run",
+    "batches.items",
     "batches.scheduler",
     "batches.registry",
     "batches.handover",
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -24,6 +24,7 @@
 
     WHOLE = "whole"
     NOT_RUN = "not run"
+    NO_CONNECTION = "no connection"
     BROKEN = "broken off"
     SILENT = "silent"
     FAILED = "failed"
@@ -81,7 +82,7 @@
     try:
         connection = await pool.acquire(target.record.address)
     except ConnectFailed as error:
-        return RunReport(ItemOutcome.NOT_RUN, f"no connection: {error}")
+        return RunReport(ItemOutcome.NO_CONNECTION, str(error))
     try:
         async with asyncio.timeout(FIRST_EVENT_TIMEOUT_S) as limit:
             report = await exchange(connection, item, progress, target, bounds, limit, loop)
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from turmericreach.batches.items import ItemTable
 from turmericreach.batches.log import BatchLog, segment_kind
 from turmericreach.batches.model import BatchSpec, ItemResult, Progress
 from turmericreach.batches.records import BatchRecord, read_record
@@ -170,7 +171,7 @@
             events.BATCH_TAKEN,
             lot=record.lot,
             listed=len(run.log.results),
-            items=len(run.states),
+            items=len(run.items.states),
             reason="owner in the store",
             first_owner=record.object.spec["owner"],
             revision=record.revision,
@@ -219,27 +220,29 @@
             if route is not None:
                 break
             await asyncio.sleep(START_RETRY_S)
-        run = BatchRun(
-            spec=spec,
-            route=route,
+        items = ItemTable(
+            spec,
+            route,
+            submitted_at=loop.time() - record.age_s(),
+            tokens_per_event=configuration.tokens_per_event(route),
+            carried=self.carried_items(spec),
+        )
+        return BatchRun(
+            items=items,
             log=self.log_of(record.lot),
             directory=self.scheduler.directory,
             pool=self.pool,
             scorer_calls=self.scorer_calls,
-            submitted_at=loop.time() - record.age_s(),
             on_wake=self.scheduler.wake,
             on_conflict=lambda: self.check_owner(spec.id),
-            tokens_per_event=configuration.tokens_per_event(route),
         )
-        run.carried = self.carried_items(spec)
-        return run
 
     def carried_items(self, spec: BatchSpec) -> frozenset[str]:
         """Return the items of a lot that stood in an earlier one."""
         earlier: set[str] = set()
         for run in self.scheduler.runs.values():
             if run.spec.id != spec.id:
-                earlier.update(run.states)
+                earlier.update(run.items.states)
         earlier.update(self.kept)
         return frozenset(item.id for item in spec.items if item.id in earlier)
 
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -1,24 +1,22 @@
 """A lot that this process runs."""
 
 import asyncio
-import enum
 from collections.abc import Callable
 
-import attrs
-
 from turmericreach.batches.item_run import ItemBounds, ItemOutcome, RunReport, run_item
+from turmericreach.batches.items import ItemPhase, ItemState, ItemTable
 from turmericreach.batches.log import BatchLog
-from turmericreach.batches.model import BatchItem, BatchSpec, ItemResult, Progress
+from turmericreach.batches.model import ItemResult, Progress
 from turmericreach.batches.result_writer import ResultWriter
 from turmericreach.batches.scoring import ScorerCalls
 from turmericreach.http1 import ConnectionPool
 from turmericreach.metadata import MetadataError
-from turmericreach.placement import RunningItem, WaitingItem, expected_left
-from turmericreach.services import Route, Target, TargetDirectory
+from turmericreach.placement import WaitingItem
+from turmericreach.services import Target, TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-__all__ = ["BatchRun", "ItemPhase", "ItemState"]
+__all__ = ["BatchRun"]
 
 # After a run that was broken off, so that a failing engine is not asked in a tight loop.
 RETRY_PAUSE_S = 0.1
@@ -26,64 +24,6 @@
 NO_CONNECTION_PAUSE_S = 0.5
 SUSPECT_S = 3.0
 LOAD_RETRY_S = 0.2
-# A run shows its engine's speed before it is moved.
-MOVE_PAUSE_S = 0.3
-
-
-class ItemPhase(enum.StrEnum):
-    """Where an item is."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-    SCORING = "scoring"
-    READY = "ready"
-    LISTED = "listed"
-
-
-@attrs.define(eq=False)
-class ItemState:
-    """State of an item.
-
-    Attributes
-    ----------
-    item : BatchItem
-        The item.
-    phase : ItemPhase
-        Where it is.
-    progress : Progress
-        What has been generated.
-    failures : int
-        Runs that the engine answered with a failure.
-    not_before : float
-        Loop time before which it is not tried again.
-    waiting_since : float
-        Loop time since which it has waited.
-    refused_by : dict of str to float
-        Engines that refused it, with the loop time until which they are left out.
-    target : str
-        Engine at which it runs, or ran last.
-    started_at : float
-        Loop time at which its last run began.
-    task : asyncio.Task or None
-        Its last run.
-    move_to : Target or None
-        Engine at which it goes on.
-    moves : int
-        How often it has been moved.
-    """
-
-    item: BatchItem
-    phase: ItemPhase = ItemPhase.WAITING
-    progress: Progress = attrs.field(factory=Progress)
-    failures: int = 0
-    not_before: float = 0.0
-    waiting_since: float = 0.0
-    refused_by: dict[str, float] = attrs.field(factory=dict)
-    target: str = ""
-    started_at: float = 0.0
-    task: asyncio.Task | None = None
-    move_to: Target | None = None
-    moves: int = 0
 
 
 class BatchRun:
@@ -91,46 +31,38 @@
 
     Attributes
     ----------
+    items : ItemTable
+        Its items and their states.
     spec : BatchSpec
         The lot.
     route : Route
         Its route.
     log : BatchLog
         Results that are durable.
-    states : dict of str to ItemState
-        State by item.
-    carried : frozenset of str
-        Items that stood in an earlier lot.
     """
 
     def __init__(
         self,
-        spec: BatchSpec,
-        route: Route,
+        items: ItemTable,
         log: BatchLog,
         directory: TargetDirectory,
         pool: ConnectionPool,
         scorer_calls: ScorerCalls,
-        submitted_at: float,
         on_wake: Callable[[], None],
         on_conflict: Callable[[], None],
-        tokens_per_event: float = 1.0,
     ):
-        self.spec = spec
-        self.route = route
+        self.items = items
+        self.spec = items.spec
+        self.route = items.route
         self.log = log
         self.directory = directory
         self.pool = pool
         self.scorer_calls = scorer_calls
-        self.submitted_at = submitted_at
         self.on_wake = on_wake
-        self.tokens_per_event = tokens_per_event
-        self.carried: frozenset[str] = frozenset()
         self.loop = asyncio.get_running_loop()
-        self.states = {item.id: ItemState(item) for item in spec.items}
         self.tasks: set[asyncio.Task] = set()
         self.writer = ResultWriter(
-            log, len(spec.items), self.completes_group, self.mark_listed, on_conflict
+            log, len(self.spec.items), self.completes_group, self.mark_listed, on_conflict
         )
         self.loaded = False
         self.stopped = False
@@ -153,7 +85,7 @@
                 # The client logs a store that is away.
                 await asyncio.sleep(RETRY_PAUSE_S)
         now = self.loop.time()
-        for state in self.states.values():
+        for state in self.items.states.values():
             state.waiting_since = now
             self.adopt(state, known.get(state.item.id))
         self.mark_listed()
@@ -188,17 +120,16 @@
         """Return whether items wait for an engine or run at one."""
         if self.stopped or not self.loaded:
             return False
-        active = (ItemPhase.WAITING, ItemPhase.RUNNING)
-        return any(state.phase in active for state in self.states.values())
+        return self.items.has_active()
 
     def is_finished(self) -> bool:
         """Return whether all items are listed."""
-        return len(self.log.results) >= len(self.states)
+        return len(self.log.results) >= len(self.items.states)
 
     def mark_listed(self) -> None:
         """Take over from the log which items are listed."""
         for item_id in self.log.listed:
-            state = self.states.get(item_id)
+            state = self.items.states.get(item_id)
             if state is not None:
                 state.phase = ItemPhase.LISTED
 
@@ -209,93 +140,31 @@
         if self.stopped or not self.loaded:
             return []
         found = []
-        for state in self.states.values():
+        for state in self.items.states.values():
             if state.phase is not ItemPhase.WAITING or now < state.not_before:
                 continue
             if self.give_up_if_late(state, now):
                 continue
-            found.append(self.waiting_item(state, now))
-        return found
-
-    def waiting_item(self, state: ItemState, now: float) -> WaitingItem:
-        """Return an item as placement sees it."""
-        item = state.item
-        refused = [target for target, until in state.refused_by.items() if now < until]
-        return WaitingItem(
-            lot=self.spec.id,
-            item=item.id,
-            model=self.spec.model,
-            min_version=self.spec.min_version,
-            group=item.group,
-            carried=item.id in self.carried,
-            remaining_events=self.remaining_events(state),
-            group_events=self.group_events(item.group),
-            due_in_s=self.submitted_at + self.route.due_s - now,
-            priority=self.route.priority,
-            excluded=frozenset(refused),
-        )
-
-    def remaining_events(self, state: ItemState) -> float:
-        """Return the expected number of events that are still to be made."""
-        expected = state.item.expected_tokens / self.tokens_per_event
-        return expected_left(expected, len(state.progress.events))
-
-    def group_events(self, group: str) -> float:
-        """Return the expected number of events that a group still lacks."""
-        total = 0.0
-        for state in self.states.values():
-            if state.item.group != group:
-                continue
-            if state.phase in (ItemPhase.WAITING, ItemPhase.RUNNING):
-                total += self.remaining_events(state)
-        return total
-
-    def running_items(self, now: float) -> list[RunningItem]:
-        """Return the items that run and may go on elsewhere."""
-        found = []
-        for state in self.states.values():
-            if state.phase is not ItemPhase.RUNNING or not state.progress.events:
-                continue
-            if now - state.started_at < MOVE_PAUSE_S or state.move_to is not None:
-                continue
-            found.append(
-                RunningItem(
-                    lot=self.spec.id,
-                    item=state.item.id,
-                    model=self.spec.model,
-                    min_version=self.spec.min_version,
-                    engine=state.target,
-                    left_events=self.remaining_events(state),
-                    moves=state.moves,
-                )
-            )
+            found.append(self.items.waiting_item(state, now))
         return found
 
     def move(self, item_id: str, target: Target) -> None:
         """Let an item go on at another engine after its last event."""
-        state = self.states[item_id]
+        state = self.items.states[item_id]
         state.move_to = target
         state.moves += 1
         state.task.cancel()
 
-    def running_events(self, target_id: str) -> list[float]:
-        """Return the expected events left of each item that runs at a target."""
-        found = []
-        for state in self.states.values():
-            if state.phase is ItemPhase.RUNNING and state.target == target_id:
-                found.append(self.remaining_events(state))
-        return found
-
     def give_up_if_late(self, state: ItemState, now: float) -> bool:
         """Give up an item whose lifetime is over."""
-        if now < self.submitted_at + self.route.item_lifetime_s:
+        if self.items.time_left_s(now) > 0:
             return False
         self.give_up(state, "its lifetime is over")
         return True
 
     def begin(self, item_id: str, target: Target) -> None:
         """Start an item at a target."""
-        state = self.states[item_id]
+        state = self.items.states[item_id]
         state.phase = ItemPhase.RUNNING
         state.target = target.id
         state.started_at = self.loop.time()
@@ -321,7 +190,7 @@
             model=self.spec.model,
             min_version=self.spec.min_version,
             single_version=self.route.single_version,
-            time_left_s=self.submitted_at + self.route.item_lifetime_s - began,
+            time_left_s=self.items.time_left_s(began),
         )
         report = RunReport(ItemOutcome.BROKEN, "stopped")
         try:
@@ -360,11 +229,10 @@
             self.begin_scoring(state)
         elif outcome is ItemOutcome.NOT_RUN:
             state.refused_by[target.id] = now + REFUSED_PAUSE_S
-            if report.detail.startswith("no connection"):
-                state.refused_by[target.id] = now + NO_CONNECTION_PAUSE_S
-                self.directory.suspect(target, report.detail, SUSPECT_S, now)
-            else:
-                target.loading_until = max(target.loading_until, now + LOAD_RETRY_S)
+            target.loading_until = max(target.loading_until, now + LOAD_RETRY_S)
+        elif outcome is ItemOutcome.NO_CONNECTION:
+            state.refused_by[target.id] = now + NO_CONNECTION_PAUSE_S
+            self.directory.suspect(target, report.detail, SUSPECT_S, now)
         elif outcome is ItemOutcome.OLD_VERSION:
             state.refused_by[target.id] = now + LOAD_RETRY_S
         elif outcome is ItemOutcome.IMPOSSIBLE:
@@ -423,16 +291,12 @@
         state.phase = ItemPhase.READY
         self.writer.add(result)
 
-    def is_group_done(self, group: str) -> bool:
-        """Return whether all items of a group are listed or wait to be."""
-        done = (ItemPhase.READY, ItemPhase.LISTED)
-        return all(
-            state.phase in done for state in self.states.values() if state.item.group == group
-        )
-
     def completes_group(self, results: list[ItemResult]) -> bool:
         """Return whether results make a group complete."""
-        return any(self.is_group_done(self.states[result.item].item.group) for result in results)
+        return any(
+            self.items.is_group_done(self.items.states[result.item].item.group)
+            for result in results
+        )
 
     async def write_results(self) -> None:
         """Write results until all items are listed."""
@@ -440,14 +304,14 @@
         log_event(
             events.BATCH_FINISHED,
             lot=self.spec.id,
-            items=len(self.states),
-            seconds=self.loop.time() - self.submitted_at,
+            items=len(self.items.states),
+            seconds=self.loop.time() - self.items.submitted_at,
         )
 
     def progress_so_far(self) -> dict[str, Progress]:
         """Return the text of items that are not listed."""
         found = {}
-        for state in self.states.values():
+        for state in self.items.states.values():
             if state.phase is ItemPhase.LISTED or not state.progress.events:
                 continue
             found[state.item.id] = state.progress
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -57,7 +57,7 @@
         event_s = target.latency_s or DEFAULT_EVENT_S
         found = []
         for run in self.runs.values():
-            for events in run.running_events(target.id):
+            for events in run.items.running_events(target.id):
                 found.append(events * event_s)
         return found
 
@@ -79,7 +79,7 @@
         if waiting:
             for start in plan_starts(waiting, self.engines(targets, now), self.division):
                 self.runs[start.item.lot].begin(start.item.item, targets[start.engine])
-        running = [item for run in runs for item in run.running_items(now)]
+        running = [item for run in runs for item in run.items.running_items(now)]
         if running:
             for move in plan_moves(running, self.own_engines(targets, running, now)):
                 self.runs[move.item.lot].move(move.item.item, targets[move.engine])
--- a/turmericreach/http1/__init__.py
+++ b/turmericreach/http1/__init__.py
@@ -7,9 +7,10 @@
     ResponseIncomplete,
     connect,
 )
+from turmericreach.http1.exchange import Request, Responder
 from turmericreach.http1.headers import Headers, query_value, split_target
 from turmericreach.http1.pool import ConnectionPool
-from turmericreach.http1.server import HttpServer, Request, Responder, ServerLimits
+from turmericreach.http1.server import HttpServer, ServerLimits
 
 __all__ = [
     "ClientConnection",
--- a/turmericreach/node/metrics_page.py
+++ b/turmericreach/node/metrics_page.py
@@ -103,7 +103,7 @@
         self.metrics.gauge(metrics.LOTS_RUNNING, len(runs))
         phases = Counter({"waiting": 0, "running": 0, "scoring": 0, "ready": 0, "listed": 0})
         for run in runs.values():
-            phases.update(str(state.phase) for state in run.states.values())
+            phases.update(str(state.phase) for state in run.items.states.values())
         for phase, number in phases.items():
             self.metrics.gauge(metrics.ITEMS, number, phase=phase)
 
