Let a gateway be started with targets in turn, as a baseline for measurements

The baseline keeps what must hold (versions, exclusions, slots) and knows no speed, load or due time.

--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from turmericreach.batches.run import BatchRun
-from turmericreach.placement import EngineState, RunningItem, plan_moves, plan_starts
+from turmericreach.placement import EngineState, ExpectedEnd, PlacementPolicy, RunningItem
 from turmericreach.placement.engines import DEFAULT_EVENT_S
 from turmericreach.services import Target, TargetDirectory, first_event_limit_s
 
@@ -28,8 +28,9 @@
         Model that each engine serves, as the coordinator divides them.
     """
 
-    def __init__(self, directory: TargetDirectory):
+    def __init__(self, directory: TargetDirectory, policy: PlacementPolicy | None = None):
         self.directory = directory
+        self.policy = policy or ExpectedEnd()
         self.runs: dict[str, BatchRun] = {}
         self.division: dict[str, str] = {}
         self.wakeup = asyncio.Event()
@@ -77,11 +78,11 @@
         targets = {target.id: target for target in self.directory.of_service(service)}
         waiting = [item for run in runs for item in run.waiting_items(now)]
         if waiting:
-            for start in plan_starts(waiting, self.engines(targets, now), self.division):
+            for start in self.policy.starts(waiting, self.engines(targets, now), self.division):
                 self.runs[start.item.lot].begin(start.item.item, targets[start.engine])
         running = [item for run in runs for item in run.items.running_items(now)]
         if running:
-            for move in plan_moves(running, self.own_engines(targets, running, now)):
+            for move in self.policy.moves(running, self.own_engines(targets, running, now)):
                 self.runs[move.item.lot].move(move.item, targets[move.engine])
         return any(run.is_active() for run in runs)
 
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -8,7 +8,7 @@
 
 from turmericreach.batches.model import Scorer
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
-from turmericreach.placement import choose_target
+from turmericreach.placement import ExpectedEnd, PlacementPolicy
 from turmericreach.platform import targets as wire
 from turmericreach.services import Configuration, LoadReport, Target, TargetDirectory
 from turmericreach.telemetry import log_event
@@ -46,8 +46,10 @@
         directory: TargetDirectory,
         pool: ConnectionPool,
         data_centre: str,
+        policy: PlacementPolicy | None = None,
     ):
         self.configuration = configuration
+        self.policy = policy or ExpectedEnd()
         self.directory = directory
         self.pool = pool
         self.data_centre = data_centre
@@ -98,7 +100,9 @@
         if route is None:
             return None, None
         service = route.choose_service(self.random)
-        target = choose_target(self.directory.of_service(service), now, self.data_centre, avoided)
+        target = self.policy.choose(
+            self.directory.of_service(service), now, self.data_centre, avoided
+        )
         return route, target
 
     async def call(self, scorer: Scorer, target: Target) -> tuple[int | None, str, str]:
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -9,7 +9,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.streams import StreamForwarder
 from turmericreach.node.target_tries import TargetTries
-from turmericreach.placement import hedge_delay_s, retry_after_s
+from turmericreach.placement import PlacementPolicy, hedge_delay_s, retry_after_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import RouteKind, Target, TargetDirectory
 
@@ -41,8 +41,14 @@
 class Forwarder:
     """Passes requests on to targets."""
 
-    def __init__(self, directory: TargetDirectory, pool: ConnectionPool, data_centre: str):
-        self.tries = TargetTries(directory, pool, data_centre)
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        pool: ConnectionPool,
+        data_centre: str,
+        policy: PlacementPolicy,
+    ):
+        self.tries = TargetTries(directory, pool, data_centre, policy)
         self.streams = StreamForwarder(self.tries)
 
     async def forward(self, exchange: Exchange) -> None:
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -28,6 +28,7 @@
 from turmericreach.node.settings_watch import SettingsWatch
 from turmericreach.node.supervision import TaskGroup
 from turmericreach.node.target_watch import TargetWatch
+from turmericreach.placement import POLICIES
 from turmericreach.platform import store as store_wire
 from turmericreach.platform.names import READY_PATH
 from turmericreach.services import TargetDirectory
@@ -75,7 +76,8 @@
             settings.cores,
             self.client,
         )
-        self.scheduler = ItemScheduler(self.directory)
+        self.placement = POLICIES[settings.placement]()
+        self.scheduler = ItemScheduler(self.directory, self.placement)
         self.registry = self.make_registry()
         self.handover = LotHandOver(self.registry, self.peers)
         self.duty = CoordinatorDuty(
@@ -119,6 +121,7 @@
             self.directory,
             self.pool,
             self.settings.data_centre,
+            self.placement,
         )
         return BatchRegistry(
             self.settings.host,
@@ -151,7 +154,7 @@
             self.peers,
             self.settings.store.value_bytes,
         )
-        forwarder = Forwarder(self.directory, self.pool, self.settings.data_centre)
+        forwarder = Forwarder(self.directory, self.pool, self.settings.data_centre, self.placement)
         caller_api = CallerApi(self.configuration, self.client, forwarder, self.lot_api)
         peer_api = PeerApi(
             self.peers,
--- a/turmericreach/node/main.py
+++ b/turmericreach/node/main.py
@@ -9,6 +9,7 @@
 from turmericreach.node.log_output import LogOutput
 from turmericreach.node.settings import NodeSettings
 from turmericreach.node.standby import run_standby
+from turmericreach.placement import POLICIES
 from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.settings import load_settings, settings_path
 from turmericreach.telemetry import configure_logging, log_event
@@ -19,7 +20,10 @@
 
 EXIT_USAGE = 2
 EXIT_NOT_LISTENING = 3
-USAGE = "usage: turmericreach_node.py gateway [--metrics-port PORT] | standby"
+USAGE = (
+    "usage: turmericreach_node.py gateway [--metrics-port PORT] "
+    f"[--placement {{{','.join(POLICIES)}}}] | standby"
+)
 
 
 def run(arguments: list[str]) -> int:
@@ -29,13 +33,13 @@
     """
     if arguments == ["standby"]:
         return run_standby()
-    port = metrics_port(arguments)
-    if port is None:
+    options = gateway_options(arguments)
+    if options is None:
         print(USAGE, file=sys.stderr)
         return EXIT_USAGE
 
     def read_settings() -> NodeSettings:
-        return attrs.evolve(load_settings(settings_path()), metrics_port=port)
+        return attrs.evolve(load_settings(settings_path()), **options)
 
     try:
         settings = read_settings()
@@ -45,13 +49,19 @@
     return run_gateway(settings, read_settings)
 
 
-def metrics_port(arguments: list[str]) -> int | None:
-    """Return the port for metrics, 0 for none; None if the arguments are wrong."""
-    if arguments == ["gateway"]:
-        return 0
-    if len(arguments) != 3 or arguments[:2] != ["gateway", "--metrics-port"]:
+def gateway_options(arguments: list[str]) -> dict[str, int | str] | None:
+    """Return the settings that the arguments hold, None if the arguments are wrong."""
+    if len(arguments) % 2 == 0 or arguments[0] != "gateway":
         return None
-    return int(arguments[2]) if arguments[2].isdigit() else None
+    found: dict[str, int | str] = {}
+    for name, value in zip(arguments[1::2], arguments[2::2], strict=True):
+        if name == "--metrics-port" and value.isdigit():
+            found["metrics_port"] = int(value)
+        elif name == "--placement" and value in POLICIES:
+            found["placement"] = value
+        else:
+            return None
+    return found
 
 
 def run_gateway(settings: NodeSettings, read_settings: Callable[[], NodeSettings]) -> int:
--- a/turmericreach/node/settings.py
+++ b/turmericreach/node/settings.py
@@ -66,6 +66,8 @@
         Processor time that the process may use, in cores.
     metrics_port : int
         Port at which metrics are served, 0 for none.
+    placement : str
+        Name of the placement policy.
     store : StoreSettings
         The metadata store.
     timings : Timings
@@ -83,3 +85,4 @@
     timings: Timings = Timings()
     cores: float = 1.0
     metrics_port: int = 0
+    placement: str = "expected-end"
--- a/turmericreach/node/settings_watch.py
+++ b/turmericreach/node/settings_watch.py
@@ -14,7 +14,7 @@
 
 # The file may change without a signal.
 POLL_S = 2.0
-# Names and addresses by which others know the process.
+# Names and addresses by which others know the process, and how it places requests.
 FIXED = (
     "host",
     "role",
@@ -24,6 +24,7 @@
     "ready_address",
     "peer_port",
     "metrics_port",
+    "placement",
 )
 
 
--- a/turmericreach/node/target_tries.py
+++ b/turmericreach/node/target_tries.py
@@ -14,7 +14,7 @@
     ResponseHead,
 )
 from turmericreach.node.exchange import Exchange
-from turmericreach.placement import choose_target
+from turmericreach.placement import PlacementPolicy
 from turmericreach.platform import targets as wire
 from turmericreach.services import LoadReport, Target, TargetDirectory
 
@@ -56,8 +56,15 @@
 class TargetTries:
     """Sends requests to targets, and keeps what that tells of them."""
 
-    def __init__(self, directory: TargetDirectory, pool: ConnectionPool, data_centre: str):
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        pool: ConnectionPool,
+        data_centre: str,
+        policy: PlacementPolicy,
+    ):
         self.directory = directory
+        self.policy = policy
         self.pool = pool
         self.data_centre = data_centre
         self.random = random.Random()
@@ -66,7 +73,7 @@
         """Return a target of the route that has not been tried."""
         service = exchange.route.choose_service(self.random)
         now = asyncio.get_running_loop().time()
-        return choose_target(
+        return self.policy.choose(
             self.directory.of_service(service), now, self.data_centre, exchange.tried
         )
 
