Remove two settings without effect: data_folder and targets[].fencing

Cause: both were read, checked and documented, and nothing used them; an operator could believe that they protect something. Orders carry their fencing number to every engine whether it checks it or not, and the platform keeps what must last in its store, so that no folder on a disk is needed.

--- a/demo/layout.py
+++ b/demo/layout.py
@@ -125,7 +125,6 @@
                         "agent": daemon.address,
                         "slots": ENGINE_SLOTS if target.is_model else PLAIN_SLOTS,
                         "speed": target.speed,
-                        "fencing": target.is_model,
                     }
                 )
         return {
--- a/tests/manifest/test_manifest.py
+++ b/tests/manifest/test_manifest.py
@@ -85,7 +85,7 @@
     validator = jsonschema.Draft202012Validator(schema)
     document = yaml.load(MANIFEST_TEXT, CoreLoader)
     assert list(validator.iter_errors(document)) == []
-    for change in ({"slots": 0}, {"name": "A"}, {"colour": 1}, {"url": "x"}, {"fencing": 1}):
+    for change in ({"slots": 0}, {"name": "A"}, {"colour": 1}, {"url": "x"}, {"drain": 1}):
         wrong = {**document, "targets": [{**document["targets"][0], **change}]}
         assert list(validator.iter_errors(wrong)), change
 
--- a/turmericreach/manifest/schema.py
+++ b/turmericreach/manifest/schema.py
@@ -133,8 +133,6 @@
         Requests that it serves at the same time.
     speed : float
         Expected tokens a second of one stream, 0 if unknown.
-    fencing : bool
-        Whether it refuses orders with an old fencing number.
     checks_orders : bool
         Whether it checks who gives an order.
     drain : bool
@@ -148,7 +146,6 @@
     agent: str
     slots: int = bounded(8, minimum=1)
     speed: float = bounded(0.0, minimum=0)
-    fencing: bool = False
     checks_orders: bool = False
     drain: bool = False
 
--- a/turmericreach/settings/schema.py
+++ b/turmericreach/settings/schema.py
@@ -136,8 +136,6 @@
         Name of the host's daemon, unique in the deployment.
     seeds : list of str
         ``ip:port`` of daemons to ask for members while the platform is down.
-    data_folder : str
-        Folder for bulk data on hosts with a disk, empty for none.
     stop_timeout_s : float
         Longest time that a graceful stop waits for requests in flight.
     """
@@ -152,5 +150,4 @@
     security: SecuritySettings = attrs.field(factory=SecuritySettings)
     telemetry: TelemetrySettings = attrs.field(factory=TelemetrySettings)
     seeds: list[str] = attrs.field(factory=list)
-    data_folder: str = ""
     stop_timeout_s: float = bounded(60.0, minimum=0)
