Name the gateways that do not answer in the list of lots

Cause: GET /v1/lots and the command lots left out gateways that did not answer, without a word, so that their lots seemed to be gone. Change: the answer is a LotList with the lots and the silent gateways; the command prints them on standard error and ends with 1. Ruled out: failing the whole call, which would hide the lots of the gateways that do answer.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -34,7 +34,7 @@
     "GET /v1/status": status(member("a1", 1), member("g1", 1)),
     "GET /v1/targets": [TARGET],
     "GET /v1/targets/t1": IDLE,
-    "GET /v1/lots": [LOT],
+    "GET /v1/lots": {"lots": [LOT], "silent": []},
     "GET /v1/lots/lot-1": LOT,
     "POST /v1/lots/lot-1/cancel": {},
     "PUT /v1/models/assistant/version": {"model": "assistant", "version": 5, "active": 3},
@@ -249,6 +249,15 @@
     assert main(["explain", "nothing"]) == ExitCode.NOT_FOUND
 
 
+def test_lots_names_gateways_that_do_not_answer(gateway, capsys):
+    """Guards against a list that looks whole while a gateway's lots are missing."""
+    gateway.answers["GET /v1/lots"] = {"lots": [LOT], "silent": ["gateway-3"]}
+    assert main(["lots", "--output", "json"]) == ExitCode.FAILED
+    printed = capsys.readouterr()
+    assert len(json.loads(printed.out)) == 1
+    assert "gateway-3 did not answer" in printed.err
+
+
 def test_weights_row(gateway, capsys):
     """Guards against a wanted version that is shown as active."""
     main(["weights", "--output", "json"])
--- a/turmericreach/api/messages.py
+++ b/turmericreach/api/messages.py
@@ -9,6 +9,7 @@
     "AnnounceRequest",
     "DeclareAnswer",
     "DrainRequest",
+    "LotList",
     "LotStatus",
     "PullAnswer",
     "PullRequest",
@@ -113,3 +114,19 @@
     tokens_useful: int
     tokens_thrown_away: int
     durable: bool
+
+
+@attrs.frozen
+class LotList:
+    """The lots of a deployment.
+
+    Attributes
+    ----------
+    lots : list of LotStatus
+        Lots of the gateways that answered.
+    silent : list of str
+        Live gateways that did not answer; their lots are missing.
+    """
+
+    lots: list[LotStatus]
+    silent: list[str]
--- a/turmericreach/cli/lots.py
+++ b/turmericreach/cli/lots.py
@@ -11,7 +11,7 @@
 
 from turmericreach.api import LotStatus
 from turmericreach.cli.options import Api, ExitCode, Output, command
-from turmericreach.cli.output import show, table
+from turmericreach.cli.output import note, show, table
 from turmericreach.client import LotRun, OperatorClient, TrainerClient
 from turmericreach.lots import Cursor, GroupSpec, LotSpec
 
@@ -167,12 +167,17 @@
     output: Output = Output.TABLE,
     api: Api = Api(),  # noqa: B008 - cyclopts reads the default
 ) -> int:
-    """List the lots that the live gateways coordinate."""
+    """List the lots that the live gateways coordinate.
+
+    It ends with 1 if a gateway does not answer, since its lots are missing then.
+    """
     async with api.connect() as connection:
         found = await OperatorClient(connection).lots()
     columns = ["lot", "trainer", "coordinator", "samples", "by state", "thrown away", "durable"]
-    show(output, found, table(columns, [lot_cells(lot) for lot in found]))
-    return ExitCode.OK
+    if found.silent:
+        note(f"lots are missing: {', '.join(found.silent)} did not answer")
+    show(output, found.lots, table(columns, [lot_cells(lot) for lot in found.lots]))
+    return ExitCode.FAILED if found.silent else ExitCode.OK
 
 
 def lot_cells(lot: LotStatus) -> list:
--- a/turmericreach/client/operator.py
+++ b/turmericreach/client/operator.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from turmericreach.api import AnnounceRequest, DrainRequest, LotStatus
+from turmericreach.api import AnnounceRequest, DrainRequest, LotList, LotStatus
 from turmericreach.client.connection import RETRYABLE_STATUSES, ApiConnection, ApiError
 from turmericreach.verdicts import Verdict
 
@@ -69,9 +69,9 @@
         """Return the state of one target as its agent sees it now."""
         return await self.call("GET", f"/v1/targets/{quote(name, safe='')}")
 
-    async def lots(self) -> list[LotStatus]:
-        """Return the lots that the live gateways coordinate."""
-        return await self.call("GET", "/v1/lots", None, list[LotStatus])
+    async def lots(self) -> LotList:
+        """Return the lots of the live gateways, and the gateways that did not answer."""
+        return await self.call("GET", "/v1/lots", None, LotList)
 
     async def lot(self, name: str) -> LotStatus:
         """Return the state of one lot."""
--- a/turmericreach/daemon/reports.py
+++ b/turmericreach/daemon/reports.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from turmericreach.api import LotList, LotStatus
 from turmericreach.audit import AuditRecord
 from turmericreach.config import Confirmation
 from turmericreach.daemon.inspection import CONCURRENT_CALLS, inspect_members
@@ -123,13 +124,19 @@
         revision = self.node.config.revision
         return b"{}" if revision is None else revision.payload
 
-    async def list_lots(self) -> list:
-        """Return the lots of all live gateways."""
+    async def list_lots(self) -> LotList:
+        """Return the lots of all live gateways, and the gateways that do not answer."""
         call = LotCall(LotOperation.LIST)
-        lots = msgspec.json.decode(await self.gateway.lots.list_local(call))
-        for body in await self.ask_gateways(LOT, msgspec.json.encode(call)):
-            lots += msgspec.json.decode(msgspec.json.decode(body, type=LotReply).body)
-        return lots
+        lots = msgspec.json.decode(await self.gateway.lots.list_local(call), type=list[LotStatus])
+        answers = await self.ask_gateways(LOT, msgspec.json.encode(call))
+        silent = []
+        for name, body in answers.items():
+            if body is None:
+                silent.append(name)
+                continue
+            reply = msgspec.json.decode(body, type=LotReply)
+            lots += msgspec.json.decode(reply.body, type=list[LotStatus])
+        return LotList(lots, silent)
 
     async def explain(self, subject: str) -> list[dict]:
         """Return the decisions of all live daemons about a request or a sample."""
@@ -142,12 +149,13 @@
     async def unwritten_audit(self) -> list[AuditRecord]:
         """Return the audit records that the live gateways have not written yet."""
         records = self.own_unwritten()
-        for body in await self.ask_gateways(UNWRITTEN, b""):
-            records += msgspec.json.decode(body, type=list[AuditRecord])
+        for body in (await self.ask_gateways(UNWRITTEN, b"")).values():
+            if body is not None:
+                records += msgspec.json.decode(body, type=list[AuditRecord])
         return sorted(records, key=lambda record: record.at)
 
-    async def ask_gateways(self, kind: str, body: bytes) -> list[bytes]:
-        """Return the answers of the other live gateways; those that fail are left out."""
+    async def ask_gateways(self, kind: str, body: bytes) -> dict[str, bytes | None]:
+        """Return the answers of the other live gateways, None of those that do not answer."""
         limit = asyncio.Semaphore(CONCURRENT_CALLS)
 
         async def ask(name: str) -> bytes | None:
@@ -158,6 +166,7 @@
                 except (PeerError, KeyError):
                     return None
 
-        others = self.node.members.gateways(self.node.now())
-        answers = await asyncio.gather(*(ask(name) for name in others if name != self.node.name))
-        return [answer for answer in answers if answer is not None]
+        live = self.node.members.gateways(self.node.now())
+        others = sorted(name for name in live if name != self.node.name)
+        answers = await asyncio.gather(*(ask(name) for name in others))
+        return dict(zip(others, answers, strict=True))
