Let the soak change settings files and lose streams

Cause: the soak sent no SIGHUP and lost single answers only, so that reloads and engines that lose answers for a while met no other fault. Change: two kinds of faults: a settings file that changes, sometimes half written first, with a SIGHUP, and engines that close or leave open every few streams.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import signal
 from collections.abc import Callable, Coroutine
@@ -37,6 +38,7 @@
             self.kill_gateway,
             self.stop_gateway,
             self.freeze_gateway,
+            self.reload_gateway,
             self.kill_all,
             self.cut_gateway_from_store,
             self.cut_gateway_from_store,
@@ -45,6 +47,7 @@
             self.store_drops_history,
             self.cut_target,
             self.spoil_target,
+            self.lose_streams,
             self.replace_target,
         ]
 
@@ -102,6 +105,25 @@
         with contextlib.suppress(ProcessLookupError):
             program.signal(signal.SIGCONT)
 
+    async def reload_gateway(self, source: random.Random) -> None:
+        """Change a gateway's settings file, sometimes half written first, and signal it.
+
+        A program that starts with half a file ends, which its platform would have to mend.
+        """
+        program = source.choice(self.deployment.programs)
+        if program.host in self.deployment.restarting or not await program.is_ready():
+            return
+        document = program.document()
+        document["platform"]["writesPerS"] = source.choice([500, 4000])
+        text = json.dumps(document)
+        written = text[: source.randint(1, len(text))] if source.random() < 0.3 else text
+        self.note(f"SIGHUP {program.host}, {len(written)} of {len(text)} bytes of its settings")
+        program.settings_file.write_text(written)
+        with contextlib.suppress(ProcessLookupError):
+            program.signal(signal.SIGHUP)
+        await asyncio.sleep(source.uniform(*PAUSE_S))
+        program.settings_file.write_text(text)
+
     # Links and the store
 
     async def cut_gateway_from_store(self, source: random.Random) -> None:
@@ -167,6 +189,15 @@
             setattr(target.faults, kind, source.randint(1, 3))
         await asyncio.sleep(source.uniform(*PAUSE_S))
 
+    async def lose_streams(self, source: random.Random) -> None:
+        """Let an engine close, or leave open without a byte, every few streams for a while."""
+        target = source.choice(list(self.deployment.world.targets.values()))
+        kind = source.choice(["lose_every", "mute_every"])
+        self.note(f"{target.id}: {kind}")
+        setattr(target.faults, kind, source.randint(2, 6))
+        await asyncio.sleep(source.uniform(*FAULT_S))
+        setattr(target.faults, kind, 0)
+
     async def replace_target(self, source: random.Random) -> None:
         """Drain a target; another one takes its place."""
         name = source.choice(sorted(self.deployment.target_links))
