Write each condition of placement and each test fixture once

Cause: a reading of the whole change found the condition for an engine to run an item in the plan and in the baseline, wrappers of the default policy that only pass their arguments on, the same two fixtures in two test modules, the policy's default name in two modules, and doc comments that a reader of the field would not use. Change: EngineState.may_run and starts_now, ExpectedEnd made of the functions themselves, fixtures in tests/builders/metadata_store.py, DEFAULT_POLICY in the settings.

--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -4,23 +4,10 @@
 
 import pytest
 
-from tests.builders.metadata_store import client_of, running_store
 from turmericreach.batches.log import BatchLog, LogTaken
 from turmericreach.batches.model import ItemResult
 
 
-@pytest.fixture
-async def store():
-    async with running_store() as made:
-        yield made
-
-
-@pytest.fixture
-async def client(store):
-    with client_of(store) as made:
-        yield made
-
-
 def results(*names):
     """Return completed results."""
     return [ItemResult(name, True, f"text of {name}", [1], "stamp") for name in names]
--- a/tests/builders/metadata_store.py
+++ b/tests/builders/metadata_store.py
@@ -1,27 +1,27 @@
 """A metadata store and a client of it, for the time of a test."""
 
-from contextlib import asynccontextmanager, contextmanager
+import pytest
 
 from turmericreach.metadata import MetadataClient
 from turmericreach_standins.fleet import StoreStandIn
 
-__all__ = ["client_of", "running_store"]
+__all__ = ["client", "store"]
 
 
-@asynccontextmanager
-async def running_store():
+@pytest.fixture
+async def store():
     """Run a store."""
-    store = StoreStandIn()
-    await store.start()
-    yield store
-    await store.stop()
+    made = StoreStandIn()
+    await made.start()
+    yield made
+    await made.stop()
 
 
-@contextmanager
-def client_of(store):
+@pytest.fixture
+async def client(store):
     """Open a client that gives calls up soon and whose budget is never used up."""
-    client = MetadataClient(store.address, 10_000, 10_000)
-    client.call_timeout_s = 0.2
-    client.available.set()
-    yield client
-    client.close()
+    made = MetadataClient(store.address, 10_000, 10_000)
+    made.call_timeout_s = 0.2
+    made.available.set()
+    yield made
+    made.close()
--- a/tests/metadata/test_client.py
+++ b/tests/metadata/test_client.py
@@ -5,22 +5,9 @@
 import pytest
 
 from tests.builders.fleet_world import eventually
-from tests.builders.metadata_store import client_of, running_store
 from turmericreach.metadata import Conflict, KindMirror, OutcomeUnknown, Unavailable
 
 
-@pytest.fixture
-async def store():
-    async with running_store() as made:
-        yield made
-
-
-@pytest.fixture
-async def client(store):
-    with client_of(store) as made:
-        yield made
-
-
 def soon():
     """Return a loop time shortly ahead."""
     return asyncio.get_running_loop().time() + 0.5
--- a/turmericreach/node/settings.py
+++ b/turmericreach/node/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from turmericreach.placement import DEFAULT_POLICY
+
 __all__ = ["NodeSettings", "StoreSettings", "Timings"]
 
 
@@ -51,11 +53,11 @@
     Attributes
     ----------
     host : str
-        Name of the machine.
+        Name of the host.
     role : str
         Name of the role in the deploy file.
     data_centre : str
-        Where the machine is.
+        Where the host is.
     ip : str
         Its address.
     caller_address, ready_address : str
@@ -85,4 +87,4 @@
     timings: Timings = Timings()
     cores: float = 1.0
     metrics_port: int = 0
-    placement: str = "expected-end"
+    placement: str = DEFAULT_POLICY
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -92,6 +92,15 @@
     groups: frozenset[str] = frozenset()
     first_event_limit_s: float = float("inf")
 
+    def may_run(self, item: "WaitingItem") -> bool:
+        """Return whether its weights suffice for an item that it has not refused."""
+        is_new_enough = self.versions.get(item.model, 0) >= item.min_version
+        return is_new_enough and self.id not in item.excluded
+
+    def starts_now(self, item: "WaitingItem") -> bool:
+        """Return whether it may run an item without loading weights first."""
+        return self.ready_in_s <= 0 and self.may_run(item)
+
 
 @attrs.frozen
 class Start:
@@ -115,9 +124,7 @@
 
     def takes(self, item: WaitingItem) -> bool:
         """Return whether an item may run here."""
-        if not self.free_at or self.state.id in item.excluded:
-            return False
-        return self.state.versions.get(item.model, 0) >= item.min_version
+        return bool(self.free_at) and self.state.may_run(item)
 
     def finish_s(self, item: WaitingItem) -> float:
         """Return the seconds until an item would end here."""
--- a/turmericreach/placement/policy.py
+++ b/turmericreach/placement/policy.py
@@ -38,28 +38,9 @@
 class ExpectedEnd:
     """Places each request and item where it is expected to end soonest."""
 
-    def choose(
-        self,
-        candidates: Iterable[Target],
-        now: float,
-        data_centre: str,
-        excluded: Collection[str] = (),
-    ) -> Target | None:
-        """Return the target with the shortest expected wait."""
-        return choose_target(candidates, now, data_centre, excluded)
-
-    def starts(
-        self,
-        items: Iterable[WaitingItem],
-        engines: Iterable[EngineState],
-        division: Mapping[str, str],
-    ) -> list[Start]:
-        """Return the items that start now, the longest and the late groups first."""
-        return plan_starts(items, engines, division)
-
-    def moves(self, running: Iterable[RunningItem], engines: Iterable[EngineState]) -> list[Move]:
-        """Return the items that end clearly sooner elsewhere."""
-        return plan_moves(running, engines)
+    choose = staticmethod(choose_target)
+    starts = staticmethod(plan_starts)
+    moves = staticmethod(plan_moves)
 
 
 class RoundRobin:
@@ -99,7 +80,7 @@
         free = {state.id: state.slots - len(state.busy_s) for state in states}
         found = []
         for item in items:
-            usable = [state for state in states if takes(state, item) and free[state.id] > 0]
+            usable = [state for state in states if free[state.id] > 0 and state.starts_now(item)]
             if not usable:
                 continue
             self.turn += 1
@@ -113,12 +94,5 @@
         return []
 
 
-def takes(state: EngineState, item: WaitingItem) -> bool:
-    """Return whether an engine may run an item."""
-    if state.id in item.excluded or state.ready_in_s > 0:
-        return False
-    return state.versions.get(item.model, 0) >= item.min_version
-
-
 DEFAULT_POLICY = "expected-end"
 POLICIES = {DEFAULT_POLICY: ExpectedEnd, "round-robin": RoundRobin}
--- a/turmericreach/services/directory.py
+++ b/turmericreach/services/directory.py
@@ -69,7 +69,7 @@
         return found
 
     def note_success(self, target: Target, now: float) -> None:
-        """Take that a request got its whole answer, which may end a suspicion."""
+        """Record that a request got its whole answer, which may end a suspicion."""
         target.note_sign_of_life(now)
         target.note_outcome(failed=False)
         if target.is_suspect(now) and not speaks_against(target, self.peers_of(target), now):
@@ -77,7 +77,7 @@
             log_event(events.TARGET_TRUSTED, target=target.id, failure_share=share_of(target))
 
     def note_failure(self, target: Target, reason: str, seconds: float, now: float) -> None:
-        """Take that a request got no whole answer; avoid its target if that is its fault."""
+        """Record that a request got no whole answer; avoid its target if that is its fault."""
         target.note_outcome(failed=True)
         if speaks_against(target, self.peers_of(target), now):
             self.suspect(target, reason, seconds, now)
