--- a/tests/daemon/test_lots.py
+++ b/tests/daemon/test_lots.py
@@ -228,6 +228,34 @@
     await gateways.end()
 
 
+async def test_lots_beyond_the_trainers_limit_are_rejected():
+    """Guards against a limit on open lots that never applies."""
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    for number in range(6):
+        spec = make_spec(name=f"eyes-{number}", scoring_service="")
+        call = LotCall(LotOperation.DECLARE, spec.name, encode_lot(spec))
+        if number < 5:
+            await service.call(call)
+            continue
+        with pytest.raises(RequestError) as rejection:
+            await service.call(call)
+        assert rejection.value.code == ErrorCode.OVERLOADED
+    await gateways.end()
+
+
+async def test_an_unfinished_lot_is_kept_in_the_store_while_nobody_pulls():
+    """Guards against removing a lot whose trainer returns after a long pause."""
+    gateways = Gateways("g1")
+    service = gateways.services["g1"]
+    await service.call(declare())
+    await service.store.flush(service.runners)
+    await asyncio.sleep(max(IDLE_TIMEOUT_S, RETENTION_S) + 1.0)
+    await service.remove_idle_lots()
+    assert SPEC.name not in service.runners
+    assert await service.store.load(SPEC.name) is not None
+
+
 @pytest.mark.parametrize(("deadline_s", "accepted"), [(3000.0, True), (7200.0, False)])
 async def test_a_lot_whose_deadline_agents_refuse_is_refused_at_once(deadline_s, accepted):
     """Guards against an accepted lot none of whose rollouts an agent would accept."""
--- a/tests/metadata/test_client.py
+++ b/tests/metadata/test_client.py
@@ -35,6 +35,15 @@
     assert store.names("kind") == ["a"]
 
 
+async def test_write_with_an_unreadable_response_has_an_unknown_outcome(client, store):
+    """Guards against reporting that a write had no effect although it took effect."""
+    store.faults.garbled_write_responses = 2
+    with pytest.raises(OutcomeUnknown):
+        await client.create("kind", "a", {"writer": "me"}, asyncio.get_running_loop().time())
+    assert store.names("kind") == ["a"]
+    assert (await client.create("kind", "b", {"writer": "me"}, soon())).spec == {"writer": "me"}
+
+
 async def test_create_over_another_writers_object_conflicts(client, store):
     """Guards against taking an object of another writer for the one being created."""
     store.put("kind", "a", {"writer": "other"})
--- a/turmericreach/daemon/lot_housekeeping.py
+++ b/turmericreach/daemon/lot_housekeeping.py
@@ -97,13 +97,15 @@
         """Stop lots without recent pulls, and remove complete ones after their retention time."""
         for name, runner in list(self.runners.items()):
             idle_s = self.node.now() - runner.last_pull_at
-            if runner.is_complete() and idle_s < RETENTION_S:
+            # Stopping a runner cancels its lot, which then counts as complete.
+            was_complete = runner.is_complete()
+            if was_complete and idle_s < RETENTION_S:
                 continue
             if idle_s < IDLE_TIMEOUT_S:
                 continue
             self.runners.pop(name, None)
             await runner.stop()
-            if runner.is_complete():
+            if was_complete:
                 await self.try_remove(name)
 
     async def try_remove(self, lot: str) -> None:
--- a/turmericreach/daemon/lot_runner.py
+++ b/turmericreach/daemon/lot_runner.py
@@ -285,7 +285,7 @@
     def is_complete(self) -> bool:
         """Return whether every sample was acknowledged or the lot was stopped."""
         cursor = self.coordinator.cursor
-        return self.coordinator.state.stopped is not None or cursor.count() == self.spec.size
+        return bool(self.coordinator.state.stopped) or cursor.count() == self.spec.size
 
     def wake(self) -> None:
         """Wake the task that starts rollouts, and waiting pulls."""
--- a/turmericreach_standins/fleet/store.py
+++ b/turmericreach_standins/fleet/store.py
@@ -29,6 +29,8 @@
         Apply no call and send no response.
     lose_write_responses : int
         Number of next writes that are applied without a response.
+    garbled_write_responses : int
+        Number of next writes that are applied and whose response cannot be decoded.
     late_writes : int
         Number of next writes that are applied only after `LATE_WRITE_S` and without a response.
     delay_s : float
@@ -42,6 +44,7 @@
     refuse: bool = False
     silent: bool = False
     lose_write_responses: int = 0
+    garbled_write_responses: int = 0
     late_writes: int = 0
     delay_s: float = 0.0
     refused_clients: set[str] = attrs.field(factory=set)
@@ -171,6 +174,10 @@
             self.faults.lose_write_responses -= 1
             await request.disconnected.wait()
             return
+        if self.faults.garbled_write_responses > 0:
+            self.faults.garbled_write_responses -= 1
+            responder.send(status, (), b"{")
+            return
         send_json(responder, status, value)
 
     async def apply_write_late(
