Bound the bytes and the time of each message that a gateway receives

Cause: a peer may send bytes that are no response without end, in a head or a body. The parser holds an incomplete field without reporting it, read_body and the event parser held everything, and interim and mismatched responses were skipped without a limit. One worker could end a gateway of 160 MB.

Change: a response fails when its bytes outside the body exceed a head's limit plus an allowance for each byte of the body (heads, fields, interim responses, chunk extensions and trailers in one rule), when a body read as a whole, or the bodies of skipped responses, exceed theirs. The bodies on all connections of a pool share a budget that is an eighth of the process's memory; over it, the connection that holds the most fails. Events are at most 64 KiB, an item's run ends after as many events as the item has tokens, and blank lines are parsed in linear time. The server counts the same way and limits the time and the total size of request bodies. A failure closes the connection and counts against the target as any incomplete response. A write whose response cannot be decoded has an unknown outcome.

Ruled out: limits in httptools, which has none.

--- /dev/null
+++ b/tests/batches/test_item_run.py
@@ -0,0 +1,76 @@
+"""Tests of single runs of items at engines that break the protocol."""
+
+import asyncio
+
+import pytest
+
+from turmericreach.batches.item_run import ItemOutcome, RunConstraints, run_item
+from turmericreach.batches.model import BatchItem, Progress
+from turmericreach.http1 import ConnectionPool
+from turmericreach.services import Target, TargetRecord
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Weight-Versions: 3\r\n\r\n"
+
+
+async def serve_stream(parts):
+    """Start a server that responds to a request with a head and the given parts."""
+
+    async def handle(reader, writer):
+        await reader.read(65_536)
+        writer.write(HEAD)
+        try:
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+def endless_events():
+    """Yield numbered events without end."""
+    number = 0
+    while True:
+        number += 1
+        yield f"id: {number}\ndata: x\n\n".encode()
+
+
+def endless_event():
+    """Yield an event that never ends."""
+    while True:
+        yield b"data: " + b"x" * 4096 + b"\n"
+
+
+def endless_blank_lines():
+    """Yield line breaks without end."""
+    while True:
+        yield b"\n" * 65_536
+
+
+@pytest.mark.parametrize(
+    ("parts", "outcome"),
+    [
+        (endless_events, ItemOutcome.INTERRUPTED),
+        (endless_event, ItemOutcome.INTERRUPTED),
+        (endless_blank_lines, ItemOutcome.TIMED_OUT),
+    ],
+)
+async def test_stream_without_end_ends_the_run(parts, outcome):
+    """Guards against an engine that fills the memory of a gateway or holds an item for ever."""
+    server, address = await serve_stream(parts())
+    record = TargetRecord("e1", 1, "engines", address, "a", 4, False)
+    item = BatchItem("i1", "/x", [], b"", 100, "g", 20.0, None)
+    progress = Progress()
+    pool = ConnectionPool(1.0)
+    constraints = RunConstraints("h", "m", 1, False, 10.0)
+    async with asyncio.timeout(8):
+        report = await run_item(item, progress, Target(record), constraints, pool)
+    assert report.outcome is outcome
+    assert len(progress.events) <= item.tokens
+    assert pool.buffers.held_bytes == 0
+    assert pool.idle.get(address, []) == []
+    server.close()
--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -1,9 +1,18 @@
 """Incremental parser of server-sent events (``text/event-stream``)."""
 
+import re
+
 import attrs
 
+from turmericreach.http1 import ResponseIncomplete
+
 __all__ = ["EventParser", "StreamEvent"]
 
+# An event holds the text of a few tokens and an id.
+MAX_EVENT_BYTES = 65_536
+# Ends an event. Further line breaks belong to the separator, so that a run of them is one match.
+SEPARATOR = re.compile(rb"(?:\r\n\r\n|\n\n)[\r\n]*")
+
 
 @attrs.frozen
 class StreamEvent:
@@ -30,37 +39,42 @@
 class EventParser:
     """Splits a byte stream into complete events and buffers an incomplete one.
 
+    Parameters
+    ----------
+    max_event_bytes : int
+        Largest size of an event.
+
     Attributes
     ----------
     rest : bytes
         Bytes received after the last complete event.
     """
 
-    def __init__(self):
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES):
+        self.max_event_bytes = max_event_bytes
         self.rest = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes to the buffer and return the events that they complete."""
-        self.rest += data
+        """Append bytes to the buffer and return the events that they complete.
+
+        Raises
+        ------
+        ResponseIncomplete
+            If an event is too large.
+        """
+        buffer = self.rest + data
         events = []
-        while True:
-            end, length = find_blank_line(self.rest)
-            if end < 0:
-                return events
-            raw = self.rest[: end + length]
-            self.rest = self.rest[end + length :]
+        start = 0
+        for separator in SEPARATOR.finditer(buffer):
+            raw = buffer[start : separator.end()]
+            start = separator.end()
             event = parse_event(raw)
             if event is not None:
                 events.append(event)
-
-
-def find_blank_line(data: bytes) -> tuple[int, int]:
-    """Return the offset and length of the first event separator, the offset -1 if none."""
-    plain = data.find(b"\n\n")
-    carriage = data.find(b"\r\n\r\n")
-    if carriage >= 0 and (plain < 0 or carriage < plain):
-        return carriage, 4
-    return plain, 2
+        self.rest = buffer[start:]
+        if len(self.rest) > self.max_event_bytes:
+            raise ResponseIncomplete(f"an event exceeds {self.max_event_bytes} bytes")
+        return events
 
 
 def parse_event(raw: bytes) -> StreamEvent | None:
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -246,6 +246,10 @@
         last_at = None
         async for chunk in self.connection.body_chunks():
             for event in parser.feed(chunk):
+                if len(self.progress.events) >= self.item.tokens > 0:
+                    # Each event holds at least one token, so these are not the item's events.
+                    self.progress.clear()
+                    return RunReport(ItemOutcome.INTERRUPTED, "more events than tokens")
                 for line in event.other_lines:
                     version = wire.version_of_line(line) or version
                 last_id = self.progress.last_event_id
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -9,7 +9,12 @@
 
 from turmericreach.coordination.messages import PeerStatus
 from turmericreach.coordination.names import HOST_PREFIX, OWN_KIND
-from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
+from turmericreach.http1 import (
+    ConnectFailed,
+    ConnectionPool,
+    ResponseIncomplete,
+    ResponseLimits,
+)
 from turmericreach.metadata import Conflict, KindMirror, MetadataClient, MetadataError, StoredObject
 from turmericreach.placement.ownership import choose_owner
 from turmericreach.services import TargetDirectory
@@ -99,6 +104,8 @@
         Processor time that this process may use, in cores.
     client : MetadataClient
         Client of the metadata store.
+    limits : ResponseLimits, optional
+        Limits on the size of responses of other processes.
 
     Attributes
     ----------
@@ -123,14 +130,20 @@
     """
 
     def __init__(
-        self, host: str, address: str, incarnation: str, cores: float, client: MetadataClient
+        self,
+        host: str,
+        address: str,
+        incarnation: str,
+        cores: float,
+        client: MetadataClient,
+        limits: ResponseLimits | None = None,
     ):
         self.host = host
         self.address = address
         self.incarnation = incarnation
         self.cores = cores
         self.client = client
-        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, max_idle=8)
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, max_idle=8, limits=limits)
         self.peers: dict[str, Peer] = {}
         self.leaving = False
         self.mirrors: dict[str, KindMirror] = {}
--- a/turmericreach/http1/__init__.py
+++ b/turmericreach/http1/__init__.py
@@ -9,10 +9,13 @@
 )
 from turmericreach.http1.exchange import Request, Responder
 from turmericreach.http1.headers import Headers, query_value, split_target
+from turmericreach.http1.limits import BUFFER_MEMORY_SHARE, BufferBudget, ResponseLimits
 from turmericreach.http1.pool import ConnectionPool
 from turmericreach.http1.server import HttpServer, ServerLimits
 
 __all__ = [
+    "BUFFER_MEMORY_SHARE",
+    "BufferBudget",
     "ClientConnection",
     "ConnectFailed",
     "ConnectionPool",
@@ -22,6 +25,7 @@
     "Responder",
     "ResponseHead",
     "ResponseIncomplete",
+    "ResponseLimits",
     "ServerLimits",
     "connect",
     "query_value",
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -8,13 +8,14 @@
 import httptools
 
 from turmericreach.http1.headers import Headers, encode_headers
+from turmericreach.http1.limits import BufferBudget, FramingCount, ResponseLimits
 from turmericreach.http1.sockets import set_socket_options
 from turmericreach.verdicts import TurmericreachError
 
 __all__ = ["ClientConnection", "ConnectFailed", "ResponseHead", "ResponseIncomplete", "connect"]
 
 # Reading from the connection pauses while more than this many bytes of a body are unread.
-MAX_BUFFERED_BYTES = 1 << 18
+MAX_BUFFERED_BYTES = 1 << 16
 # Idle connections are closed this long before the server would close them, so that no request is
 # sent on a connection that the server is closing.
 IDLE_MARGIN_S = 0.5
@@ -49,6 +50,15 @@
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the server.
+    limits : ResponseLimits, optional
+        Limits on the size of a response.
+    buffers : BufferBudget, optional
+        Memory shared with other connections; by default this connection has its own.
+
     Attributes
     ----------
     address : str
@@ -82,10 +92,25 @@
         Received parts of the body that have not been read.
     buffered : int
         Total size of `chunks` in bytes.
+    held : int
+        Bytes of the body that count against the shared memory: those of `chunks`, and those that
+        `read_body` has collected.
+    framing : FramingCount
+        Bytes of the present response.
+    skipped : int
+        Bytes of bodies of responses to other requests.
     """
 
-    def __init__(self, address: str):
+    def __init__(
+        self,
+        address: str,
+        limits: ResponseLimits | None = None,
+        buffers: BufferBudget | None = None,
+    ):
         self.address = address
+        self.limits = limits or ResponseLimits()
+        self.buffers = buffers or BufferBudget(self.limits.total_bytes)
+        self.held = 0
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.closed = False
@@ -108,8 +133,9 @@
         self.until_close = False
         self.complete = False
         self.failure: ResponseIncomplete | None = None
-        self.chunks: deque[bytes] = deque()
-        self.buffered = 0
+        self.framing = FramingCount()
+        self.skipped = 0
+        self.release_buffers()
         self.chunk_waiter: asyncio.Future | None = None
 
     # Transport callbacks
@@ -125,11 +151,14 @@
             self.reusable = False
             self.close()
             return
+        self.framing.received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             self.fail(f"invalid response: {error}")
             return
+        if not self.complete and self.framing.exceeds(self.limits.head_bytes):
+            self.fail(f"bytes outside the body exceed {self.limits.head_bytes}")
         if self.failure is None and self.buffered > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
 
@@ -159,11 +188,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
+        if self.failure is not None:
+            return
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Publish the head, unless the response is interim or belongs to another request."""
-        if self.complete:
+        if self.complete or self.failure is not None:
             return
         status = self.parser.get_status_code()
         if status < 200:
@@ -183,12 +214,23 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body for the reader."""
-        if self.head is None or self.complete or self.mismatched:
+        self.framing.body += len(body)
+        if self.mismatched:
+            self.skip_body(len(body))
+            return
+        if self.head is None or self.complete or self.failure is not None:
             return
         self.chunks.append(body)
         self.buffered += len(body)
+        self.buffers.hold(self, len(body))
         self.wake_reader()
 
+    def skip_body(self, size: int) -> None:
+        """Count bytes of a response to another request, and fail if there are too many."""
+        self.skipped += size
+        if self.skipped > self.limits.skipped_bytes and self.failure is None:
+            self.fail(f"responses to other requests exceed {self.limits.skipped_bytes} bytes")
+
     def on_message_complete(self) -> None:
         """Complete the response, unless it is interim or belongs to another request."""
         if self.complete:
@@ -258,6 +300,12 @@
         ResponseIncomplete
             If the connection is lost before the body is complete.
         """
+        async for chunk in self.take_chunks():
+            self.buffers.release(self, len(chunk))
+            yield chunk
+
+    async def take_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives, without releasing the memory that it counts for."""
         while True:
             while self.chunks:
                 chunk = self.chunks.popleft()
@@ -273,10 +321,20 @@
             await self.chunk_waiter
 
     async def read_body(self) -> bytes:
-        """Return the complete body."""
-        parts = []
-        async for chunk in self.body_chunks():
+        """Return the complete body.
+
+        Raises
+        ------
+        ResponseIncomplete
+            If the connection is lost before the body is complete, or the body is too large.
+        """
+        parts, size = [], 0
+        async for chunk in self.take_chunks():
             parts.append(chunk)
+            size += len(chunk)
+            if size > self.limits.body_bytes and self.failure is None:
+                self.fail(f"the body exceeds {self.limits.body_bytes} bytes")
+        self.release_buffers()
         return b"".join(parts)
 
     def is_mismatched(self, headers: Headers) -> bool:
@@ -302,14 +360,21 @@
         self.wake_reader()
 
     def fail(self, reason: str) -> None:
-        """Fail the response and close the connection."""
+        """Fail the response, release its body, and close the connection."""
         self.failure = ResponseIncomplete(reason)
         self.reusable = False
+        self.release_buffers()
         if self.head_waiter is not None and not self.head_waiter.done():
             self.head_waiter.set_result(None)
         self.wake_reader()
         self.close()
 
+    def release_buffers(self) -> None:
+        """Release the parts of the body that have not been read."""
+        self.chunks: deque[bytes] = deque()
+        self.buffered = 0
+        self.buffers.release(self, self.held)
+
     def wake_reader(self) -> None:
         """Wake the reader of the body."""
         if self.chunk_waiter is not None and not self.chunk_waiter.done():
@@ -318,12 +383,18 @@
     def close(self) -> None:
         """Close the connection at once, which also tells the server that a request is abandoned."""
         self.reusable = False
+        self.buffers.release(self, self.held)
         if self.transport is not None and not self.closed:
             self.transport.abort()
 
 
-async def connect(address: str, timeout_s: float) -> ClientConnection:
-    """Open a connection to ``ip:port``.
+async def connect(
+    address: str,
+    timeout_s: float,
+    limits: ResponseLimits | None = None,
+    buffers: BufferBudget | None = None,
+) -> ClientConnection:
+    """Open a connection to ``ip:port``; the limits are those of `ClientConnection`.
 
     Raises
     ------
@@ -335,7 +406,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: ClientConnection(address), host, int(port)
+                lambda: ClientConnection(address, limits, buffers), host, int(port)
             )
     except (OSError, TimeoutError, ValueError) as error:
         raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
--- a/turmericreach/http1/pool.py
+++ b/turmericreach/http1/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from turmericreach.http1.client import ClientConnection, ResponseHead, connect
+from turmericreach.http1.limits import BufferBudget, ResponseLimits
 
 __all__ = ["ConnectionPool"]
 
@@ -16,18 +17,29 @@
         Longest time to open a connection.
     max_idle : int
         Largest number of idle connections per address.
+    limits : ResponseLimits, optional
+        Limits on the size of responses.
 
     Attributes
     ----------
+    buffers : BufferBudget
+        Memory that the bodies of all responses share.
     idle : dict of str to list of ClientConnection
         Idle connections by address, the last used at the end.
     opened : int
         Number of connections that the pool tried to open.
     """
 
-    def __init__(self, connect_timeout_s: float, max_idle: int = 8):
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        max_idle: int = 8,
+        limits: ResponseLimits | None = None,
+    ):
         self.connect_timeout_s = connect_timeout_s
         self.max_idle = max_idle
+        self.limits = limits or ResponseLimits()
+        self.buffers = BufferBudget(self.limits.total_bytes)
         self.idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
 
@@ -59,7 +71,7 @@
             if connection is not None:
                 return connection
         self.opened += 1
-        return await connect(address, self.connect_timeout_s)
+        return await connect(address, self.connect_timeout_s, self.limits, self.buffers)
 
     async def fetch(
         self,
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -9,6 +9,7 @@
 
 from turmericreach.http1.exchange import Request, Responder, reason
 from turmericreach.http1.headers import Headers, encode_headers
+from turmericreach.http1.limits import FramingCount
 from turmericreach.http1.sockets import set_socket_options
 from turmericreach.telemetry import events, log_event
 
@@ -28,15 +29,21 @@
     ----------
     header_bytes, body_bytes : int
         Largest size of the head and of the body of a request, in bytes.
+    total_body_bytes : int
+        Largest total size of the request bodies that are being received, in bytes.
     header_timeout_s : float
         Longest time from the first byte of a request to the end of its head.
+    body_timeout_s : float
+        Longest time from the end of the head to the end of the body.
     idle_timeout_s : float
         Longest time without a request on an open connection.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 32 << 20
+    total_body_bytes: int = 64 << 20
     header_timeout_s: float = 3.0
+    body_timeout_s: float = 30.0
     idle_timeout_s: float = 15.0
 
 
@@ -57,13 +64,15 @@
     rejected : bool
         Whether the client sent an invalid request; further bytes are ignored.
     timer : asyncio.TimerHandle or None
-        Timeout of the request head or of the idle connection.
+        Timeout of the request being received or of the idle connection.
     can_write : asyncio.Event
         Set while the send buffer has room.
     in_message : bool
         Whether a request has been received in part.
     head_bytes : int
-        Size of the request head received so far.
+        Size of the request target and the complete header fields received so far.
+    framing : FramingCount
+        Bytes of the request being received, from the first read after its begin on.
     """
 
     def __init__(self, server: "HttpServer"):
@@ -83,6 +92,7 @@
         self.url = b""
         self.fields: list[tuple[str, str]] = []
         self.head_bytes = 0
+        self.framing = FramingCount()
         self.body = bytearray()
 
     # Transport callbacks
@@ -100,12 +110,16 @@
             return
         if not self.in_message and self.current is None:
             self.set_timer(self.server.limits.header_timeout_s)
+        if self.in_message:
+            self.framing.received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(501)
         except httptools.HttpParserError:
             self.reject(400)
+        if self.in_message and self.framing.exceeds(self.server.limits.header_bytes):
+            self.reject(431)
         if len(self.queued) >= MAX_QUEUED_REQUESTS and not self.closed:
             self.transport.pause_reading()
 
@@ -119,6 +133,7 @@
         self.stop_timer()
         self.server.connections.discard(self)
         self.can_write.set()
+        self.discard_body()
         for request in self.queued:
             request.disconnected.set()
         if self.current is not None:
@@ -140,7 +155,8 @@
         self.url = b""
         self.fields = []
         self.head_bytes = 0
-        self.body = bytearray()
+        self.framing = FramingCount()
+        self.discard_body()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -168,15 +184,24 @@
             return
         if "100-continue" in headers.tokens("expect"):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self.stop_timer()
+        self.set_timer(self.server.limits.body_timeout_s)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
         if self.rejected:
             return
+        self.framing.body += len(body)
         self.body += body
+        self.server.body_bytes += len(body)
         if len(self.body) > self.server.limits.body_bytes:
             self.reject(413)
+        elif self.server.body_bytes > self.server.limits.total_body_bytes:
+            self.reject(503)
+
+    def discard_body(self) -> None:
+        """Release the body of the request being received."""
+        self.server.body_bytes -= len(self.body)
+        self.body = bytearray()
 
     def on_message_complete(self) -> None:
         """Queue the complete request and start its handling."""
@@ -190,7 +215,7 @@
             bytes(self.body),
             self.loop.time(),
         )
-        self.body = bytearray()
+        self.discard_body()
         request.keep_alive = self.parser.should_keep_alive()
         self.stop_timer()
         self.queued.append(request)
@@ -274,8 +299,11 @@
         While an earlier request has no response, the client would take this response for that
         request's, so the connection is closed without one.
         """
+        if self.rejected:
+            return
         self.rejected = True
         self.stop_timer()
+        self.discard_body()
         if self.current is not None or self.queued:
             self.abort()
             return
@@ -290,13 +318,13 @@
         self.timer = self.loop.call_later(delay_s, self.on_timeout)
 
     def stop_timer(self) -> None:
-        """Cancel the timeout of the request head or of the idle connection."""
+        """Cancel the timeout of the request being received or of the idle connection."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
 
     def on_timeout(self) -> None:
-        """Reject a request head that is too slow, or close an idle connection."""
+        """Reject a request that arrives too slowly, or close an idle connection."""
         if self.in_message:
             self.reject(408)
         elif not self.closed:
@@ -318,6 +346,8 @@
         Whether responses ask the client to close its connection.
     active : int
         Number of requests being handled.
+    body_bytes : int
+        Total size of the request bodies that are being received.
     """
 
     def __init__(self, handler: Handler, limits: ServerLimits | None = None):
@@ -326,6 +356,7 @@
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self.active = 0
+        self.body_bytes = 0
         self.server: asyncio.Server | None = None
 
     async def start(self, address: str) -> int:
--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -10,6 +10,7 @@
     ConnectFailed,
     ConnectionPool,
     ResponseIncomplete,
+    ResponseLimits,
 )
 from turmericreach.metadata.budget import CallBudget
 from turmericreach.metadata.objects import (
@@ -61,9 +62,15 @@
         Number of calls by purpose.
     """
 
-    def __init__(self, address: str, writes_per_s: float, reads_per_s: float):
+    def __init__(
+        self,
+        address: str,
+        writes_per_s: float,
+        reads_per_s: float,
+        limits: ResponseLimits | None = None,
+    ):
         self.address = address
-        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, max_idle=4)
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, max_idle=4, limits=limits)
         self.writes = CallBudget(writes_per_s * BUDGET_SHARE)
         self.reads = CallBudget(reads_per_s * BUDGET_SHARE)
         self.call_timeout_s = CALL_TIMEOUT_S
@@ -218,7 +225,7 @@
         while True:
             try:
                 body = await self.call("write", call)
-                return self.decode_response(wire.decode_object_response, kind, body)
+                return self.decode_written(kind, body)
             except Conflict as conflict:
                 current = conflict.current or await self.get_conflicting(kind, name, deadline)
                 written = current is not None and (
@@ -322,8 +329,21 @@
         except DecodeError:
             return None
 
+    def decode_written(self, kind: str, body: bytes) -> StoredObject:
+        """Return the object in the response to a write.
+
+        Raises
+        ------
+        OutcomeUnknown
+            If the response cannot be decoded; the write has probably taken effect.
+        """
+        try:
+            return self.decode_response(wire.decode_object_response, kind, body)
+        except Unavailable as error:
+            raise OutcomeUnknown(str(error)) from error
+
     def decode_response(self, decode, kind: str, body: bytes):
-        """Return a decoded response; raise `Unavailable` if it cannot be decoded."""
+        """Return the decoded response to a read; raise `Unavailable` if it cannot be decoded."""
         try:
             return decode(kind, body)
         except DecodeError as error:
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -5,6 +5,8 @@
 import uuid
 from collections.abc import Callable
 
+import attrs
+
 from turmericreach.batches.calls import BatchCalls
 from turmericreach.batches.handover import LotHandover
 from turmericreach.batches.registry import BatchRegistry
@@ -14,7 +16,15 @@
 from turmericreach.coordination.names import DIVISION_NAME, DUTY_NAME, HOST_PREFIX, OWN_KIND
 from turmericreach.coordination.peers import PeerTable
 from turmericreach.coordination.relay import RelaySource
-from turmericreach.http1 import ConnectionPool, HttpServer, Request, Responder, ServerLimits
+from turmericreach.http1 import (
+    BUFFER_MEMORY_SHARE,
+    ConnectionPool,
+    HttpServer,
+    Request,
+    Responder,
+    ResponseLimits,
+    ServerLimits,
+)
 from turmericreach.metadata import KindMirror, MetadataClient, StoredObject
 from turmericreach.node.caller_api import CallerApi
 from turmericreach.node.configuration import ConfigurationHolder
@@ -75,8 +85,9 @@
         )
         self.incarnation = uuid.uuid4().hex[:12]
         store = settings.store
-        self.client = MetadataClient(store.address, store.writes_per_s, store.reads_per_s)
-        self.pool = ConnectionPool(CONNECT_TIMEOUT_S)
+        limits = ResponseLimits().within_memory(settings.memory_bytes)
+        self.client = MetadataClient(store.address, store.writes_per_s, store.reads_per_s, limits)
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S, limits=limits)
         self.directory = TargetDirectory()
         self.configuration = ConfigurationHolder()
         self.peers = PeerTable(
@@ -85,6 +96,7 @@
             self.incarnation,
             settings.cores,
             self.client,
+            limits,
         )
         self.placement = POLICIES[settings.placement]()
         self.scheduler = ItemScheduler(self.directory, self.placement)
@@ -205,7 +217,10 @@
     def apply_configuration(self) -> None:
         """Apply the limits and models of a new configuration."""
         configuration = self.configuration.current
-        self.caller_server.limits = configuration.limits
+        self.caller_server.limits = attrs.evolve(
+            configuration.limits,
+            total_body_bytes=int(self.settings.memory_bytes * BUFFER_MEMORY_SHARE),
+        )
         self.converger.configuration = configuration
         self.converger.changed.set()
         self.scheduler.wake()
--- a/turmericreach/node/settings.py
+++ b/turmericreach/node/settings.py
@@ -66,6 +66,8 @@
         TCP port for calls between processes.
     cores : float
         Processor time that the process may use, in cores.
+    memory_bytes : int
+        Memory that the process may use, in bytes.
     metrics_port : int
         TCP port at which metrics are served, 0 for none.
     placement : str
@@ -86,5 +88,6 @@
     store: StoreSettings
     timings: Timings = Timings()
     cores: float = 1.0
+    memory_bytes: int = 256 << 20
     metrics_port: int = 0
     placement: str = DEFAULT_POLICY
--- a/turmericreach/platform/settings.py
+++ b/turmericreach/platform/settings.py
@@ -10,6 +10,7 @@
 __all__ = ["load_settings", "settings_path"]
 
 MS = 1000.0
+MEGABYTE = 1 << 20
 
 
 def settings_path() -> str:
@@ -72,4 +73,5 @@
             result_lifetime_s=bounds.number("statusS", 120.0),
         ),
         cores=limits.number("cpuShare", 1.0) * limits.number("cores", 1),
+        memory_bytes=int(limits.number("memoryMb", 256.0) * MEGABYTE),
     )
