Keep the calls to the store at a start and a takeover in proportion to the gateways

Without a coordinator each gateway watched each kind at the store, and each of some 100 registrations was a call of each of 58 gateways. A coordinator then relayed each change in a response of its own to each follower, which kept it busy for over a second, and its mirrors counted as stale, since the watches that it had started as a follower waited for 4 s: all followers watched at the store for another second.

Change: a follower pauses half a second between two watches of a kind at the store and uses the coordinator as soon as there is one; a relayed response waits 0.1 s for further changes; a new coordinator restarts its watches; registrations carry the cores of the host, so the first coordinator is chosen after 0.8 s instead of 1.6 s.

--- a/turmericreach/coordination/duty.py
+++ b/turmericreach/coordination/duty.py
@@ -13,6 +13,9 @@
 CHECK_INTERVAL_S = 0.2
 # After its start a process waits this long for a response of the present holder.
 START_PAUSE_S = 1.6
+# With no holder in the store, a process waits this long after its start for the registrations of
+# the others, so that all of them see the same candidates.
+FIRST_HOLDER_PAUSE_S = 0.8
 # Added to the lease for the time that an order takes to reach its target.
 LEASE_MARGIN_S = 0.2
 VERIFY_TIMEOUT_S = 0.5
@@ -114,7 +117,8 @@
         if holder == self.host:
             mine = self.current.spec.get("incarnation") == self.incarnation
             return "" if mine and self.token is not None else "this process was restarted"
-        if now - self.started_at < START_PAUSE_S:
+        pause_s = FIRST_HOLDER_PAUSE_S if holder is None else START_PAUSE_S
+        if now - self.started_at < pause_s:
             return ""
         if holder is not None and self.peers.can_write(holder, now, COORDINATOR_STORE_AGE_S):
             return ""
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -65,6 +65,8 @@
         Unique id of the run of the process that registered.
     listed_at : float
         Loop time in seconds at which its registration became known here.
+    cores : float
+        Processor time that it may use according to its registration, in cores; 0 if unknown.
     status : PeerStatus or None
         Last status that it reported, None if there is none yet.
     last_response_at : float
@@ -79,6 +81,7 @@
     address: str
     incarnation: str
     listed_at: float
+    cores: float = 0.0
     status: PeerStatus | None = None
     last_response_at: float = float("-inf")
     last_ping_at: float = float("-inf")
@@ -157,7 +160,7 @@
 
     async def register(self) -> None:
         """Store the registration of this process and retry until it succeeds."""
-        spec = {"address": self.address, "incarnation": self.incarnation}
+        spec = {"address": self.address, "incarnation": self.incarnation, "cores": self.cores}
         name = HOST_PREFIX + self.host
         current = self.mirrors[OWN_KIND].objects.get(name)
         while True:
@@ -185,7 +188,7 @@
         if known is not None:
             self.pool.remove_address(known.address)
         now = asyncio.get_running_loop().time()
-        self.peers[host] = Peer(host, address, incarnation, now)
+        self.peers[host] = Peer(host, address, incarnation, now, registered_cores(spec))
         log_event(events.HOST_LISTED, peer=host, address=address, incarnation=incarnation)
 
     def object_removed(self, object: StoredObject) -> None:
@@ -300,8 +303,8 @@
         """Return the processor time that a host may use, in cores."""
         if host == self.host:
             return self.cores
-        status = self.peers[host].status
-        return 0.0 if status is None else status.cores
+        peer = self.peers[host]
+        return peer.cores if peer.status is None else peer.status.cores
 
     def owner_for(self, subject: str, others_only: bool = False) -> str | None:
         """Return the host that should own a subject, None if no host can."""
@@ -386,3 +389,9 @@
     async def send_to_all(self, path: str, message: Any) -> None:
         """Send a message to all peers; a peer that misses it learns the change from the store."""
         await asyncio.gather(*(self.send(host, path, message) for host in list(self.peers)))
+
+
+def registered_cores(spec: dict[str, Any]) -> float:
+    """Return the processor cores in a registration, 0 if they are missing or malformed."""
+    cores = spec.get("cores")
+    return float(cores) if isinstance(cores, int | float) else 0.0
--- a/turmericreach/coordination/relay.py
+++ b/turmericreach/coordination/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 
 import msgspec
 
@@ -20,6 +21,9 @@
 # a follower detects that the coordinator no longer responds.
 RELAY_WAIT_S = 0.9
 RELAY_MARGIN_S = 0.4
+# Delay of a response with changes. Without it, each of hundreds of registrations at a start would
+# be one response to each follower.
+RELAY_BATCH_S = 0.1
 # A coordinator without a response of the store for this long relays nothing, since a change must
 # be in force everywhere within two seconds.
 MAX_CONTACT_AGE_S = 1.4
@@ -29,6 +33,9 @@
 RELAY_PAUSE_S = 1.0
 # Timeout of a watch at the store, so that a follower soon returns to the coordinator.
 DIRECT_WAIT_S = 4.0
+# Mean time between two watches of a kind that a follower makes at the store. Hundreds of changes a
+# second arrive while all processes and targets start and there is no coordinator yet.
+DIRECT_INTERVAL_S = 0.5
 
 
 class RelaySource:
@@ -40,6 +47,8 @@
         Set while the store is available to this process.
     direct_until : float
         Loop time in seconds until which watches go to the store.
+    next_direct_at : dict of str to float
+        Loop time in seconds before which a kind is not watched at the store again, by kind.
     """
 
     def __init__(self, client: MetadataClient, peers: PeerTable):
@@ -47,16 +56,38 @@
         self.peers = peers
         self.available = client.available
         self.direct_until = 0.0
+        self.next_direct_at: dict[str, float] = {}
+        self.random = random.Random()
 
     async def list_all(self, kind: str) -> tuple[list[StoredObject], int]:
         """Return all objects of a kind and the revision after which to watch."""
-        return await self.client.list_all(kind)
+        listed = await self.client.list_all(kind)
+        self.delay_direct(kind)
+        return listed
+
+    def delay_direct(self, kind: str) -> None:
+        """Delay the next watch of a kind at the store."""
+        interval_s = DIRECT_INTERVAL_S * (0.75 + 0.5 * self.random.random())
+        self.next_direct_at[kind] = asyncio.get_running_loop().time() + interval_s
+
+    def watch_delay_s(self, kind: str) -> float:
+        """Return the seconds to wait before the next watch of a kind.
+
+        Load pattern: without a coordinator every process watches at the store, and each change is
+        one call of each process. A pause between the watches of a follower lets one call return
+        many changes, so that the calls grow with the processes and not with their square.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.peers.coordinator == self.peers.host or self.coordinator(now) is not None:
+            return 0.0
+        return max(self.next_direct_at.get(kind, 0.0) - now, 0.0)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> WatchPage:
         """Return the changes after a revision."""
         now = asyncio.get_running_loop().time()
         peer = self.coordinator(now)
         if peer is None:
+            self.delay_direct(kind)
             return await self.client.watch(kind, revision, self.direct_wait_s(wait_s))
         path = f"/peer/watch?kind={kind}&after={revision}"
         try:
@@ -65,6 +96,7 @@
         except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError):
             # The coordinator is used again after a pause; the peer table logs its state.
             self.direct_until = asyncio.get_running_loop().time() + RELAY_PAUSE_S
+            self.delay_direct(kind)
             return await self.client.watch(kind, revision, RELAY_PAUSE_S)
         return WatchPage(page.changes, page.revision)
 
@@ -90,6 +122,10 @@
 ) -> ChangePage | None:
     """Return the changes for a follower, or None if they may be incomplete.
 
+    Load pattern: many objects change within a second. Changes that follow the first one shortly
+    are part of the same response, so that the responses grow with the time and not with the
+    changes.
+
     The wait ends as soon as the last response of the store is too old, so that no follower waits
     at a process that receives no changes itself.
     """
@@ -101,7 +137,11 @@
             return None
         remaining_s = deadline - loop.time()
         page = await mirror.page_after(revision, max(min(remaining_contact_s, remaining_s), 0.0))
-        if page.changes or loop.time() >= deadline:
+        if page.changes:
+            await asyncio.sleep(RELAY_BATCH_S)
+            page = await mirror.page_after(revision, 0.0)
+            break
+        if loop.time() >= deadline:
             break
     if client.last_response_age_s() > MAX_CONTACT_AGE_S:
         return None
--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -133,6 +133,10 @@
                 return objects, revision
             after = page.next_after
 
+    def watch_delay_s(self, kind: str) -> float:
+        """Return the seconds to wait before the next watch of a kind, which is none here."""
+        return 0.0
+
     async def watch(self, kind: str, revision: int, wait_s: float) -> WatchPage:
         """Wait for changes after a revision.
 
--- a/turmericreach/metadata/mirror.py
+++ b/turmericreach/metadata/mirror.py
@@ -19,6 +19,8 @@
 __all__ = ["KindMirror", "MirrorListener", "WatchSource"]
 
 RETRY_PAUSE_S = 0.1
+# Interval of the checks whether a delayed watch may start earlier.
+DELAY_CHECK_S = 0.05
 # A working watch reports a change within this time after another process has seen it.
 MISSED_CHANGE_S = 0.3
 # Number of changes kept for processes that watch this mirror instead of the store.
@@ -49,6 +51,9 @@
     async def list_all(self, kind: str) -> tuple[list[StoredObject], int]:
         """Return all objects and the revision to watch from."""
 
+    def watch_delay_s(self, kind: str) -> float:
+        """Return the seconds to wait before the next watch of a kind."""
+
     async def watch(self, kind: str, revision: int, wait_s: float) -> WatchPage:
         """Return the changes after a revision, waiting up to `wait_s` seconds for the first."""
 
@@ -125,8 +130,12 @@
             try:
                 if self.revision is None:
                     await self.relist()
-                else:
-                    await self.watch_once()
+                    continue
+                delay_s = self.source.watch_delay_s(self.kind)
+                if delay_s > 0:
+                    await asyncio.sleep(min(delay_s, DELAY_CHECK_S))
+                    continue
+                await self.watch_once()
             except HistoryGone:
                 log_event(events.WATCH_EXPIRED, kind=self.kind, revision=self.revision)
                 self.revision = None
@@ -183,7 +192,8 @@
             Revision of the newest change that the other process has seen.
         """
         up_to_date = self.revision is None or revision <= self.revision
-        if up_to_date or not self.source.available.is_set():
+        watching = self.watch_task is not None and not self.watch_task.done()
+        if up_to_date or not watching or not self.source.available.is_set():
             self.missed_since = None
             return
         now = asyncio.get_running_loop().time()
--- a/turmericreach/node/coordinator.py
+++ b/turmericreach/node/coordinator.py
@@ -64,6 +64,10 @@
 
     def start(self, tasks: TaskSupervisor) -> None:
         """Start the watches and tasks of one term of the duty."""
+        for mirror in self.peers.mirrors.values():
+            # Followers use these mirrors only if each watch confirms them often, and a watch that
+            # was started as a follower waits too long.
+            mirror.restart_watch()
         supervisor = LotSupervisor(self.registry, self.peers, self.lifetime_s)
         self.supervisor = supervisor
         retirements = Retirements(self.duty, self.client)
