Space the return of rejected callers at the rate at which slots become free

Cause: every caller that a full service rejected was told 0.1 s and every caller that needs the metadata store 2.0 s, whatever the load, so those rejected together returned together.

Change: a pure schedule assigns rejected callers consecutive times at 0.8 of the rate that the service's slots, response times and this process's share of its requests give, between 0.1 s and 2 s. While the store is unavailable the wait is half of its silence, between 0.5 s and 2 s, spread by a quarter.

--- a/turmericreach/node/caller_api.py
+++ b/turmericreach/node/caller_api.py
@@ -8,7 +8,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.forwarder import Forwarder
 from turmericreach.node.lot_api import LotApi
-from turmericreach.placement import retry_after_s
+from turmericreach.placement import STARTING_RETRY_S
 from turmericreach.platform import lots as lot_wire
 from turmericreach.platform.targets import attempt_head, retry_after_fields
 from turmericreach.services import RouteKind
@@ -75,18 +75,16 @@
         """Serve a request whose host and path select a route."""
         configuration = self.configuration.current
         if configuration is None:
-            self.reject(request, responder, 503, "no configuration yet", starting=True)
+            self.reject(request, responder, 503, "no configuration yet")
             return
         route = configuration.find_route(request.headers.get("host", ""), request.path)
         if route is None and not self.client.responded_recently():
             # The operator may have added the route while the store was unavailable, so 404 is not
             # certain.
-            self.reject(
-                request, responder, 503, "no route known, metadata store unavailable", starting=True
-            )
+            self.reject(request, responder, 503, "no route known, metadata store unavailable")
             return
         if route is None:
-            self.reject(request, responder, 404, "no route", starting=False)
+            self.reject(request, responder, 404, "no route")
             return
         if route.kind is RouteKind.BATCH:
             if request.method == "POST":
@@ -114,21 +112,18 @@
         """
         return min(self.client.last_response_age_s(), 1e9)
 
-    def reject(
-        self, request: Request, responder: Responder, status: int, reason: str, starting: bool
-    ) -> None:
+    def reject(self, request: Request, responder: Responder, status: int, reason: str) -> None:
         """Respond with an error of this process, without involving a target.
 
         Parameters
         ----------
         status : int
-            HTTP status of the response; 503 gets a ``Retry-After`` field.
+            HTTP status of the response. With 503 this process still lacks data that it needs to
+            serve requests, and the response gets a ``Retry-After`` field.
         reason : str
             Logged with the end of the request.
-        starting : bool
-            Whether the process still lacks data that it needs to serve requests.
         """
-        retry_s = retry_after_s(False, starting) if status == 503 else None
+        retry_s = STARTING_RETRY_S if status == 503 else None
         responder.send(status, retry_after_fields(retry_s))
         now = asyncio.get_running_loop().time()
         log_event(
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -9,7 +9,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.streams import StreamForwarder
 from turmericreach.node.target_attempts import TargetAttempts
-from turmericreach.placement import PlacementPolicy, hedge_delay_s, retry_after_s
+from turmericreach.placement import PlacementPolicy, hedge_delay_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import RouteKind, Target, TargetDirectory
 
@@ -105,9 +105,8 @@
         elif exchange.possible_runs:
             exchange.reject(504, "deadline passed")
         else:
-            exchange.reject(
-                503, "no target accepted it before the deadline", retry_after_s(False, False)
-            )
+            retry_s = self.attempts.busy_retry_s(exchange)
+            exchange.reject(503, "no target accepted it before the deadline", retry_s)
 
     async def serve(self, exchange: Exchange) -> None:
         """Send the request to targets until one responds, and forward that response."""
@@ -117,7 +116,7 @@
         elif exchange.possible_runs:
             exchange.reject(502, result.reason if result is not None else "no response")
         else:
-            exchange.reject(503, "no target accepts requests", retry_after_s(False, False))
+            exchange.reject(503, "no target accepts requests", self.attempts.busy_retry_s(exchange))
 
     async def first_response(self, exchange: Exchange) -> AttemptResult | None:
         """Return the first usable response.
--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import msgspec
 
@@ -18,7 +19,7 @@
     query_value,
 )
 from turmericreach.metadata import MetadataClient, MetadataError
-from turmericreach.placement import retry_after_s
+from turmericreach.placement import outage_retry_s
 from turmericreach.platform import lots as wire
 from turmericreach.platform.decoding import DecodeError, decode_json
 from turmericreach.platform.targets import attempt_head, retry_after_fields
@@ -62,6 +63,11 @@
         self.client = client
         self.peers = peers
         self.tasks: set[asyncio.Task] = set()
+        self.random = random.Random()
+
+    def outage_retry_s(self) -> float:
+        """Return the seconds after which a call that needs the metadata store may come again."""
+        return outage_retry_s(self.client.last_response_age_s(), self.random.random())
 
     # Submission
 
@@ -93,7 +99,7 @@
             return
         waited_s = asyncio.get_running_loop().time() - began
         reason = f"{result.reason}, after {waited_s:.2f} s"
-        self.reject_submission(responder, lot, 503, reason, retry_after_s(True, False))
+        self.reject_submission(responder, lot, 503, reason, self.outage_retry_s())
 
     def owner_for(self, model: str) -> str:
         """Return the host that should own the lots of a model."""
@@ -290,7 +296,7 @@
     def send_failure(self, responder: Responder, lot: str, status: int, reason: str) -> None:
         """Log a failed request and send its error response."""
         log_event(events.BATCH_READ_FAILED, lot=lot, status=status, reason=reason)
-        retry_s = retry_after_s(True, False) if status == 503 else None
+        retry_s = self.outage_retry_s() if status == 503 else None
         responder.send(status, retry_after_fields(retry_s))
 
     # Other processes
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -6,7 +6,6 @@
 from turmericreach.http1 import ConnectFailed, ResponseHead, ResponseIncomplete
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.target_attempts import TargetAttempt, TargetAttempts
-from turmericreach.placement import retry_after_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import Target
 
@@ -49,7 +48,7 @@
         elif exchange.possible_runs:
             exchange.reject(502, "the stream was interrupted")
         else:
-            exchange.reject(503, "no target accepts requests", retry_after_s(False, False))
+            exchange.reject(503, "no target accepts requests", self.attempts.busy_retry_s(exchange))
 
     def may_retry_later(self, exchange: Exchange) -> bool:
         """Return whether to retry after a pause, since full targets may soon have a free slot.
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -14,7 +14,7 @@
     ResponseHead,
 )
 from turmericreach.node.exchange import Exchange
-from turmericreach.placement import PlacementPolicy
+from turmericreach.placement import PlacementPolicy, ReturnSchedule, service_rate_per_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import LoadReport, Target, TargetDirectory
 
@@ -80,6 +80,14 @@
         self.pool = pool
         self.data_centre = data_centre
         self.random = random.Random()
+        self.returns = ReturnSchedule()
+
+    def busy_retry_s(self, exchange: Exchange) -> float:
+        """Return the seconds after which a request that no target accepted may come again."""
+        service = exchange.route.services[0].service
+        now = asyncio.get_running_loop().time()
+        rate_per_s = service_rate_per_s(self.directory.accepting_targets(service), now)
+        return self.returns.busy_retry_s(service, rate_per_s, now)
 
     def select_target(self, exchange: Exchange) -> Target | None:
         """Select a target of the route to which the request was not sent yet.
--- a/turmericreach/placement/__init__.py
+++ b/turmericreach/placement/__init__.py
@@ -12,16 +12,23 @@
     PlacementPolicy,
     RoundRobin,
 )
-from turmericreach.placement.retry import retry_after_s
+from turmericreach.placement.retry import (
+    STARTING_RETRY_S,
+    ReturnSchedule,
+    outage_retry_s,
+    service_rate_per_s,
+)
 from turmericreach.placement.target_choice import choose_target, hedge_delay_s
 
 __all__ = [
     "DEFAULT_POLICY",
     "POLICIES",
+    "STARTING_RETRY_S",
     "EngineState",
     "ExpectedEnd",
     "Move",
     "PlacementPolicy",
+    "ReturnSchedule",
     "RoundRobin",
     "RunningItem",
     "Start",
@@ -29,7 +36,8 @@
     "choose_target",
     "expected_remaining_events",
     "hedge_delay_s",
+    "outage_retry_s",
     "plan_moves",
     "plan_starts",
-    "retry_after_s",
+    "service_rate_per_s",
 ]
