--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,14 @@
 DEPLOYMENT ?= silmalasi
 DEMO_SECONDS ?= 60
 FUZZ_SECONDS ?= 600
+# For `make plays`: path of the platform's bench, paths of site files, options and reason.
+BENCH ?=
+SITES ?=
+PLAYS_OPTIONS ?=
+WHY ?= regression run
 STAMP := $(VENV)/.installed
 
-.PHONY: install test lint format demo bench fuzz docs clean
+.PHONY: install test lint format demo bench fuzz docs plays clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -32,6 +37,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
+plays: $(STAMP)
+	$(BIN)/python deploy/plays.py --bench "$(BENCH)" --why "$(WHY)" $(PLAYS_OPTIONS) $(SITES)
+
 fuzz: $(STAMP)
 	FUZZ_SECONDS=$(FUZZ_SECONDS) $(BIN)/python -m pytest -q -m fuzz
 
