Leave room for the request line and chunk sizes in the limit on a request's head

Cause, found by reading the change again: the limit on bytes outside the body was maxHeaderBytes itself, which counts names and values only, so a proper head near the limit that arrives in several reads could be answered with 431. The limit on an incomplete field is twice as much now. Requests of other gateways share an eighth of the memory as well.

--- a/tests/http1/test_endless_messages.py
+++ b/tests/http1/test_endless_messages.py
@@ -170,3 +170,48 @@
         assert (await reader.read(100)).startswith(b"HTTP/1.1 408 ")
     writer.close()
     await server.stop()
+
+
+async def test_request_over_the_memory_for_all_bodies_is_rejected():
+    """Guards against many callers that together fill the memory of a gateway."""
+    server = HttpServer(lambda request, responder: None, ServerLimits(total_body_bytes=100_000))
+    port = await server.start("127.0.0.1:0")
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+    callers = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+    for _, writer in callers:
+        writer.write(head + b"x" * 60_000)
+        await asyncio.sleep(0.05)
+    async with asyncio.timeout(2):
+        assert (await callers[1][0].read(100)).startswith(b"HTTP/1.1 503 ")
+    assert server.body_bytes == 60_000
+    for _, writer in callers:
+        writer.close()
+    await asyncio.sleep(0.05)
+    assert server.body_bytes == 0
+    await server.stop()
+
+
+@pytest.mark.parametrize("size", [3900, 4000, 4030])
+async def test_head_near_its_limit_is_accepted_in_pieces(size):
+    """Guards against rejecting a proper head because it arrives in several reads."""
+    handled = []
+
+    async def handle(request, responder):
+        handled.append(request)
+        responder.send(200)
+
+    server = HttpServer(handle, ServerLimits(header_bytes=4096))
+    port = await server.start("127.0.0.1:0")
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    field = b"X: " + b"v" * size + b"\r\n"
+    for part in (b"POST / HTTP/1.1\r\nHost: h\r\n", field, b"Transfer-Encoding: chunked\r\n"):
+        writer.write(part)
+        await asyncio.sleep(0.02)
+    writer.write(b"\r\n" + b"1\r\nx\r\n" * 10)
+    await asyncio.sleep(0.02)
+    writer.write(b"0\r\n\r\n")
+    async with asyncio.timeout(2):
+        assert (await reader.read(100)).startswith(b"HTTP/1.1 200 ")
+    assert handled[0].body == b"x" * 10
+    writer.close()
+    await server.stop()
--- a/turmericreach/http1/limits.py
+++ b/turmericreach/http1/limits.py
@@ -8,8 +8,8 @@
 
 # Bytes of framing allowed for each byte of a body. A chunk of one byte needs five.
 FRAMING_PER_BODY_BYTE = 16
-# Share of a process's memory for the bodies on the connections of one kind. A gateway has four
-# kinds: those of callers, targets, other gateways, and the metadata store.
+# Share of a process's memory for the bodies on the connections of one kind. A gateway has five
+# kinds: those from callers and other gateways, and those to targets, other gateways, and the store.
 BUFFER_MEMORY_SHARE = 0.125
 
 
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -118,7 +118,7 @@
             self.reject(501)
         except httptools.HttpParserError:
             self.reject(400)
-        if self.in_message and self.framing.exceeds(self.server.limits.header_bytes):
+        if self.in_message and self.framing.exceeds(self.max_framing_bytes()):
             self.reject(431)
         if len(self.queued) >= MAX_QUEUED_REQUESTS and not self.closed:
             self.transport.pause_reading()
@@ -293,6 +293,14 @@
         if self.head_bytes > self.server.limits.header_bytes and not self.rejected:
             self.reject(431)
 
+    def max_framing_bytes(self) -> int:
+        """Return the limit on the bytes of a request outside its body.
+
+        Complete fields are held to `ServerLimits.header_bytes` one by one. This limit bounds an
+        incomplete field, and leaves room for the request line, chunk sizes and trailers.
+        """
+        return 2 * self.server.limits.header_bytes
+
     def reject(self, status: int) -> None:
         """Respond to an invalid request with an error status and close the connection.
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -186,7 +186,7 @@
             self.converger,
             caller_api,
         )
-        self.peer_server = HttpServer(peer_api.handle, PEER_LIMITS)
+        self.peer_server = HttpServer(peer_api.handle, self.within_memory(PEER_LIMITS))
         return HttpServer(caller_api.handle)
 
     def connect_components(self) -> None:
@@ -217,14 +217,16 @@
     def apply_configuration(self) -> None:
         """Apply the limits and models of a new configuration."""
         configuration = self.configuration.current
-        self.caller_server.limits = attrs.evolve(
-            configuration.limits,
-            total_body_bytes=int(self.settings.memory_bytes * BUFFER_MEMORY_SHARE),
-        )
+        self.caller_server.limits = self.within_memory(configuration.limits)
         self.converger.configuration = configuration
         self.converger.changed.set()
         self.scheduler.wake()
 
+    def within_memory(self, limits: ServerLimits) -> ServerLimits:
+        """Return limits whose bodies together fit into their share of the process's memory."""
+        total_bytes = int(self.settings.memory_bytes * BUFFER_MEMORY_SHARE)
+        return attrs.evolve(limits, total_body_bytes=total_bytes)
+
     def is_ownership_confirmed(self) -> bool:
         """Return whether recent contact proves that this process still owns its lots."""
         if not self.handover.is_ownership_confirmed():
