Keep the bytes that arrived before a connection was lost

Cause, found by reading the change again: a failed response discarded the parts of its body that were received but not read.

Change: only a response over a limit is discarded. The new test failed before.

--- a/tests/http1/test_http1.py
+++ b/tests/http1/test_http1.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.builders.fleet_world import eventually
 from turmericreach.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -236,3 +237,18 @@
     assert Headers([("A", "-1")]).number("a") is None
     assert Headers([("A", "1.5")]).number("a") == 1.5
     assert query_value("a=1&b=%2F", "b") == "/"
+
+
+async def test_bytes_received_before_the_connection_is_lost_can_be_read(pool):
+    """Guards against discarding events that arrived together with the loss of the connection."""
+    sent = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+    server, address = await raw_server(sent, then_close=True)
+    connection = await pool.acquire(address)
+    await connection.request("GET", "/x", [("Host", "h")])
+    await eventually(lambda: connection.closed)
+    received = []
+    with pytest.raises(ResponseIncomplete):
+        async for chunk in connection.body_chunks():
+            received.append(chunk)
+    assert received == [b"half"]
+    server.close()
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -158,7 +158,7 @@
             self.fail(f"invalid response: {error}")
             return
         if not self.complete and self.framing.exceeds(self.limits.head_bytes):
-            self.fail(f"bytes outside the body exceed {self.limits.head_bytes}")
+            self.exceed(f"bytes outside the body exceed {self.limits.head_bytes}")
         if self.failure is None and self.buffered > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
 
@@ -229,7 +229,7 @@
         """Count bytes of a response to another request, and fail if there are too many."""
         self.skipped += size
         if self.skipped > self.limits.skipped_bytes and self.failure is None:
-            self.fail(f"responses to other requests exceed {self.limits.skipped_bytes} bytes")
+            self.exceed(f"responses to other requests exceed {self.limits.skipped_bytes} bytes")
 
     def on_message_complete(self) -> None:
         """Complete the response, unless it is interim or belongs to another request."""
@@ -333,7 +333,7 @@
             parts.append(chunk)
             size += len(chunk)
             if size > self.limits.body_bytes and self.failure is None:
-                self.fail(f"the body exceeds {self.limits.body_bytes} bytes")
+                self.exceed(f"the body exceeds {self.limits.body_bytes} bytes")
         self.release_buffers()
         return b"".join(parts)
 
@@ -359,11 +359,15 @@
         self.idle_since = self.loop.time()
         self.wake_reader()
 
+    def exceed(self, reason: str) -> None:
+        """Fail a response that is over a limit, and discard what was received of it."""
+        self.release_buffers()
+        self.fail(reason)
+
     def fail(self, reason: str) -> None:
-        """Fail the response, release its body, and close the connection."""
+        """Fail the response and close the connection; what was received can still be read."""
         self.failure = ResponseIncomplete(reason)
         self.reusable = False
-        self.release_buffers()
         if self.head_waiter is not None and not self.head_waiter.done():
             self.head_waiter.set_result(None)
         self.wake_reader()
--- a/turmericreach/http1/limits.py
+++ b/turmericreach/http1/limits.py
@@ -77,8 +77,8 @@
 
     held: int
 
-    def fail(self, reason: str) -> None:
-        """Fail the exchange in progress, which releases the bytes that are held."""
+    def exceed(self, reason: str) -> None:
+        """Fail the exchange in progress and discard the bytes that are held."""
 
 
 class BufferBudget:
@@ -116,7 +116,7 @@
         self.held_bytes += size
         while self.held_bytes > self.limit_bytes:
             largest = max(self.holders, key=lambda candidate: candidate.held)
-            largest.fail("the bodies held exceed the memory for all connections")
+            largest.exceed("the bodies held exceed the memory for all connections")
             self.release(largest, largest.held)
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
