Fence the log of a lot before its new owner serves results

An owner that is replaced while it still works could list a result after the new owner had read the log; the new owner then answered reads without it until its own next write conflicted.

Change: a host that takes over a lot which was changed since its creation appends an empty segment, so the former owner's next append conflicts and its results are not shown.

Ruled out: stale lists. The two tests of the log failed before (there was no fence).

--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -89,3 +89,36 @@
     log = BatchLog(None, "lot", "h1")
     long = [ItemResult(str(n), True, "x" * 200_000, [1], "s") for n in range(4)]
     assert [len(part) for part in log.split(long)] == [1, 1, 1, 1]
+
+
+async def test_former_owner_cannot_list_results_after_a_takeover(client):
+    """Guards against a new owner that does not show results that readers have already seen.
+
+    Seen at 101 gateways and 1,001 targets: a busy owner was replaced, listed one more result, and
+    the new owner answered the next read without it.
+    """
+    former, new = BatchLog(client, "lot", "h1"), BatchLog(client, "lot", "h2")
+    await former.append(results("a"))
+    await new.fence()
+    with pytest.raises(SegmentConflict):
+        await former.append(results("b"))
+    assert [result.item for result in new.results] == ["a"]
+    await new.append(results("b"))
+    await former.load()
+    assert [result.item for result in former.results] == ["a", "b"]
+
+
+async def test_fence_includes_what_was_listed_while_it_was_written(client, store):
+    """Guards against a fence that overlooks a segment written between its load and its write."""
+    former, new = BatchLog(client, "lot", "h1"), BatchLog(client, "lot", "h2")
+    load = new.load
+
+    async def load_late():
+        await load()
+        if not former.results:
+            await former.append(results("a"))
+
+    new.load = load_late
+    await new.fence()
+    assert [result.item for result in new.results] == ["a"]
+    assert store.names("lot-lot") == ["000000", "000001"]
--- a/turmericreach/batches/log.py
+++ b/turmericreach/batches/log.py
@@ -84,12 +84,43 @@
         unlisted = [result for result in results if result.item not in self.listed]
         if not unlisted:
             return 0
+        await self.append_segment(unlisted)
+        return len(unlisted)
+
+    async def fence(self) -> None:
+        """Read all segments and append an empty one, so that no former owner can append.
+
+        Load pattern: an owner that responds too late is replaced while it still works. It would
+        list further results at positions at which this process would not find them.
+
+        Raises
+        ------
+        MetadataError
+            If the store is unavailable.
+        """
+        while True:
+            await self.load()
+            try:
+                await self.append_segment([])
+                return
+            except SegmentConflict:
+                # Another process has appended since the load.
+                continue
+
+    async def append_segment(self, results: list[ItemResult]) -> None:
+        """Create the next segment.
+
+        Raises
+        ------
+        SegmentConflict
+            If another process has created it.
+        """
         number = self.segments
         name = f"{number:06d}"
         spec = {
             "writer": self.writer,
             "first": len(self.results),
-            "results": msgspec.to_builtins(unlisted),
+            "results": msgspec.to_builtins(results),
         }
         try:
             await self.client.create(segment_kind(self.lot), name, spec)
@@ -98,7 +129,6 @@
         if self.segments == number:
             # A concurrent load may have read the object before the response to this call arrived.
             self.add_segment(spec)
-        return len(unlisted)
 
     def add_segment(self, spec: Any) -> None:
         """Add the results of a stored segment."""
--- a/turmericreach/batches/records.py
+++ b/turmericreach/batches/records.py
@@ -64,6 +64,15 @@
         """Expected number of output tokens of all items together."""
         return self.object.spec["expectedTokens"]
 
+    def may_have_former_owner(self) -> bool:
+        """Return whether another host may have run the lot: it was changed since its creation."""
+        stored = self.object
+        return (
+            stored.status is not None
+            or self.revision > stored.revision
+            or self.owner != stored.spec["owner"]
+        )
+
     def age_s(self) -> float:
         """Return the seconds since the lot was accepted, by the wall clock of this host."""
         return max(time.time() - self.object.spec["submittedMs"] / 1000, 0.0)
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -190,7 +190,7 @@
         if run is None:
             return
         self.scheduler.runs[record.lot] = run
-        await run.start(self.cached_progress)
+        await run.start(self.cached_progress, record.may_have_former_owner())
         log_event(
             events.BATCH_TAKEN,
             lot=record.lot,
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -81,7 +81,7 @@
 
     # Start and stop
 
-    async def start(self, earlier_progress: dict[str, Progress]) -> None:
+    async def start(self, earlier_progress: dict[str, Progress], taken_over: bool) -> None:
         """Read the listed results, then let the remaining items wait for engines.
 
         Parameters
@@ -89,10 +89,12 @@
         earlier_progress : dict of str to Progress
             Text by item that was generated before, by another run of this lot or for an earlier
             lot.
+        taken_over : bool
+            Whether another process may have run the lot and may still list results of it.
         """
         while not self.loaded:
             try:
-                await self.log.load()
+                await (self.log.fence() if taken_over else self.log.load())
                 self.loaded = True
             except MetadataError:
                 # The client logs that the store is unavailable.
