--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -4,24 +4,13 @@
 import signal
 import time
 
-import pytest
-
 from tests.builders.faulty_proxy import FaultyProxy, LinkFault
-from tests.builders.fleet_world import FleetWorld, GatewayProcess, configuration, eventually
+from tests.builders.fleet_world import GatewayProcess, configuration, eventually
 
 # A configuration must be in force everywhere within this time.
 APPLY_S = 2.0
 
 
-@pytest.fixture
-async def world():
-    made = FleetWorld()
-    await made.start()
-    await made.add_target("p1", "portal")
-    yield made
-    await made.stop()
-
-
 async def start_gateways(world, *names):
     """Start gateways and return the coordinator and the others."""
     gateways = [await world.add_gateway(name) for name in names]
--- a/tests/coordination/test_start_load.py
+++ b/tests/coordination/test_start_load.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import pytest
-
-from tests.builders.fleet_world import FleetWorld, eventually
+from tests.builders.fleet_world import eventually
 from turmericreach.coordination.relay import DIRECT_INTERVAL_S, RELAY_BATCH_S, serve_watch
 
 GATEWAYS = 8
@@ -15,15 +13,6 @@
 START_CALLS = 6
 
 
-@pytest.fixture
-async def world():
-    made = FleetWorld()
-    await made.start()
-    await made.add_target("p1", "portal")
-    yield made
-    await made.stop()
-
-
 def charged_calls(world):
     """Return the calls to the store other than probes, which may return stale data."""
     return [call for call in world.store.calls if "staleOk" not in call]
