Show the limits that targets name in logs and metrics

A response's limit is now read, kept with the target, logged when it is named, changed or ended (TR2307, TR2308), given with each attempt, and counted. No decision uses it yet.

In tests/batches/test_item_run.py the call of run_item passes a directory, its new parameter.

--- a/tests/batches/test_item_run.py
+++ b/tests/batches/test_item_run.py
@@ -7,7 +7,7 @@
 from turmericreach.batches.item_run import ItemOutcome, RunConstraints, run_item
 from turmericreach.batches.model import BatchItem, Progress
 from turmericreach.http1 import ConnectionPool
-from turmericreach.services import Target, TargetRecord
+from turmericreach.services import Target, TargetDirectory, TargetRecord
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Weight-Versions: 3\r\n\r\n"
 
@@ -68,7 +68,9 @@
     pool = ConnectionPool(1.0)
     constraints = RunConstraints("h", "m", 1, False, 10.0)
     async with asyncio.timeout(8):
-        report = await run_item(item, progress, Target(record), constraints, pool)
+        report = await run_item(
+            item, progress, Target(record), constraints, pool, TargetDirectory()
+        )
     assert report.outcome is outcome
     assert len(progress.events) <= item.tokens
     assert pool.buffers.held_bytes == 0
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -14,7 +14,7 @@
     ResponseIncomplete,
 )
 from turmericreach.platform import targets as wire
-from turmericreach.services import LoadReport, Target, has_lost_request
+from turmericreach.services import Target, TargetDirectory, has_lost_request
 
 __all__ = ["ItemOutcome", "RunConstraints", "RunReport", "run_item"]
 
@@ -114,6 +114,7 @@
     target: Target,
     constraints: RunConstraints,
     pool: ConnectionPool,
+    directory: TargetDirectory,
 ) -> RunReport:
     """Run an item at a target and add the generated events to its progress.
 
@@ -124,7 +125,7 @@
         connection = await pool.acquire(target.record.address)
     except ConnectFailed as error:
         return RunReport(ItemOutcome.NO_CONNECTION, str(error))
-    run = ItemRun(item, progress, target, constraints, connection)
+    run = ItemRun(item, progress, target, constraints, connection, directory)
     try:
         report = await run.execute()
     except asyncio.CancelledError:
@@ -159,12 +160,14 @@
         target: Target,
         constraints: RunConstraints,
         connection: ClientConnection,
+        directory: TargetDirectory,
     ):
         self.item = item
         self.progress = progress
         self.target = target
         self.constraints = constraints
         self.connection = connection
+        self.directory = directory
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.timeout = asyncio.timeout(FIRST_EVENT_TIMEOUT_S)
@@ -211,7 +214,10 @@
             "POST", item.path, fields, item.body, wire.echo_field(item.id)
         )
         response = wire.read_response_head(head.status, head.headers)
-        record_load(target, response, self.loop.time())
+        self.directory.record_state(target, response, self.started_at, self.loop.time())
+        if response.load is not None:
+            running, waiting, _ = response.load
+            target.other_requests = max(running + waiting - target.in_flight, 0)
         if response.status != 200:
             body = await self.connection.read_body()
             return classify_response(response, body)
@@ -298,12 +304,3 @@
     if response.status == 500:
         return RunReport(ItemOutcome.FAILED, detail)
     return RunReport(ItemOutcome.INTERRUPTED, f"{detail} {body[:80]!r}")
-
-
-def record_load(target: Target, response: wire.TargetResponseHead, now: float) -> None:
-    """Record the load that a response of a target reports, if any."""
-    if response.load is None:
-        return
-    running, waiting, slots = response.load
-    target.load = LoadReport(running, waiting, slots, now)
-    target.other_requests = max(running + waiting - target.in_flight, 0)
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -214,7 +214,9 @@
         )
         report = RunReport(ItemOutcome.INTERRUPTED, "stopped")
         try:
-            report = await run_item(state.item, state.progress, target, constraints, self.pool)
+            report = await run_item(
+                state.item, state.progress, target, constraints, self.pool, self.directory
+            )
         except asyncio.CancelledError:
             if self.stopped or state.move_to is None:
                 raise
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -10,7 +10,7 @@
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
 from turmericreach.placement import ExpectedEnd, PlacementPolicy
 from turmericreach.platform import targets as wire
-from turmericreach.services import Configuration, LoadReport, Target, TargetDirectory
+from turmericreach.services import Configuration, Target, TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -146,8 +146,7 @@
         finally:
             target.in_flight -= 1
         response = wire.read_response_head(head.status, head.headers)
-        if response.load is not None:
-            target.load = LoadReport(*response.load, loop.time())
+        self.directory.record_state(target, response, started_at, loop.time())
         if 200 <= response.status < 300 and response.stamp:
             target.record_latency(loop.time() - started_at)
             return response.status, response.stamp, "scored"
--- a/turmericreach/node/exchange.py
+++ b/turmericreach/node/exchange.py
@@ -80,7 +80,14 @@
         self.responder.abort()
         self.log_end(0, reason)
 
-    def log_attempt(self, target: Target, outcome: str, began: float, in_flight: int) -> None:
+    def log_attempt(
+        self,
+        target: Target,
+        outcome: str,
+        began: float,
+        in_flight: int,
+        limit_per_s: float | None,
+    ) -> None:
         """Log one attempt at a target, with the load figures on which its selection was based.
 
         Parameters
@@ -91,6 +98,8 @@
             Loop time at which the attempt started.
         in_flight : int
             Requests of this process at the target when the attempt started.
+        limit_per_s : float or None
+            Limit of the target that was known when the attempt started.
         """
         now = asyncio.get_running_loop().time()
         load_age_s = None if target.load is None else round(now - target.load.at, 3)
@@ -103,6 +112,7 @@
             attempt=self.attempt_count,
             in_flight=in_flight,
             load_age_s=load_age_s,
+            limit_per_s=limit_per_s,
             configuration=self.configuration_version,
         )
 
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -16,7 +16,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.placement import PlacementPolicy, ReturnSchedule, service_rate_per_s
 from turmericreach.platform import targets as wire
-from turmericreach.services import LoadReport, Target, TargetDirectory
+from turmericreach.services import Target, TargetDirectory
 
 __all__ = ["SUSPECT_S", "TargetAttempt", "TargetAttempts"]
 
@@ -113,6 +113,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         in_flight = target.in_flight
+        limit_per_s = self.directory.limits.per_s(target.id)
         target.in_flight += 1
         attempt = TargetAttempt()
         try:
@@ -121,7 +122,7 @@
             target.in_flight -= 1
             if attempt.connection is not None:
                 self.pool.release(attempt.connection)
-            exchange.log_attempt(target, attempt.outcome, began, in_flight)
+            exchange.log_attempt(target, attempt.outcome, began, in_flight, limit_per_s)
             if attempt.failed:
                 self.directory.record_failure(target, attempt.outcome, SUSPECT_S, loop.time())
 
@@ -160,7 +161,7 @@
             wire.echo_field(exchange.attempt.id),
         )
         attempt.outcome = f"status {head.status}"
-        self.record_response(exchange, target, head, loop.time() - began)
+        self.record_response(exchange, target, head, began)
         return head
 
     async def connection_for(self, exchange: Exchange, target: Target) -> ClientConnection:
@@ -178,17 +179,16 @@
         return await self.pool.acquire(target.record.address, fresh=True)
 
     def record_response(
-        self, exchange: Exchange, target: Target, head: ResponseHead, seconds: float
+        self, exchange: Exchange, target: Target, head: ResponseHead, sent_at: float
     ) -> None:
         """Record what a response says about its target and whether the request was run."""
         response = wire.read_response_head(head.status, head.headers)
         now = asyncio.get_running_loop().time()
         target.record_response(now)
-        if response.load is not None:
-            target.load = LoadReport(*response.load, now)
+        self.directory.record_state(target, response, sent_at, now)
         if response.not_run:
             exchange.possible_runs -= 1
             return
-        target.record_latency(seconds)
+        target.record_latency(now - sent_at)
         if head.status < 500:
             self.directory.record_success(target, now)
--- a/turmericreach/platform/names.py
+++ b/turmericreach/platform/names.py
@@ -16,6 +16,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "RETRY_AFTER",
+    "SERVER_LIMIT",
     "SERVER_LOAD",
     "SERVER_STAMP",
     "SETTINGS_VARIABLE",
@@ -35,6 +36,7 @@
 NOT_EXECUTED = "X-Not-Executed"
 PRIORITY = "X-Request-Priority"
 RETRY_AFTER = "Retry-After"
+SERVER_LIMIT = "Server-Limit"
 SERVER_LOAD = "X-Server-Load"
 SERVER_STAMP = "X-Server-Stamp"
 TOKEN_COUNTS = "X-Token-Counts"
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -1,5 +1,7 @@
 """Protocol between the product and targets: requests, responses, reports and orders."""
 
+import re
+
 import attrs
 import msgspec
 
@@ -14,6 +16,7 @@
     ORDER_PATH,
     PRIORITY,
     RETRY_AFTER,
+    SERVER_LIMIT,
     SERVER_LOAD,
     SERVER_STAMP,
     WEIGHT_VERSIONS,
@@ -41,6 +44,8 @@
 
 # Header fields, in lower case, that the product sets itself instead of copying the caller's.
 SET_BY_PRODUCT = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), PRIORITY.lower()})
+# Excludes the signs, exponents and names such as "nan" that `float` accepts.
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 WEIGHT_VERSIONS_LINE = WEIGHT_VERSIONS.lower() + ":"
 
 
@@ -79,6 +84,9 @@
         Version of the weights at the start of the response, or None if not stated.
     load : tuple of int or None
         Running requests, waiting requests and slots of the target, or None if not stated.
+    limit_per_s : float or None
+        Requests a second that the target accepts from all processes together, or None if it names
+        no limit.
     """
 
     status: int
@@ -86,6 +94,7 @@
     stamp: str
     weight_version: int | None
     load: tuple[int, int, int] | None
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
@@ -254,9 +263,17 @@
         stamp=headers.get(SERVER_STAMP, ""),
         weight_version=int(version) if version.isdigit() else None,
         load=parse_load(headers.get(SERVER_LOAD)),
+        limit_per_s=parse_limit(headers.get(SERVER_LIMIT)),
     )
 
 
+def parse_limit(text: str | None) -> float | None:
+    """Return the rate of a limit field, or None if it is missing, malformed or negative."""
+    if text is None or not DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def parse_load(text: str | None) -> tuple[int, int, int] | None:
     """Return the three numbers of a load field, or None if it is missing or malformed."""
     if text is None:
--- a/turmericreach/services/directory.py
+++ b/turmericreach/services/directory.py
@@ -1,13 +1,33 @@
 """Directory of the targets found through service discovery."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from turmericreach.services.health import should_suspect
-from turmericreach.services.target import Target, TargetRecord
+from turmericreach.services.target import LoadReport, Target, TargetRecord
+from turmericreach.sharing import LimitTable
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-__all__ = ["TargetDirectory"]
+__all__ = ["ResponseState", "TargetDirectory"]
+
+
+class ResponseState(Protocol):
+    """What the head of a response says about the state of its target.
+
+    Attributes
+    ----------
+    load : tuple of int or None
+        Running requests, waiting requests and slots, None if not stated.
+    limit_per_s : float or None
+        Requests a second that the target accepts, None if it names no limit.
+    stamp : str
+        Signature of the target; empty if the response may be incomplete or of another origin.
+    """
+
+    load: tuple[int, int, int] | None
+    limit_per_s: float | None
+    stamp: str
 
 
 class TargetDirectory:
@@ -17,6 +37,8 @@
     ----------
     targets : dict of str to Target
         All listed targets by id, including those that are draining.
+    limits : LimitTable
+        Limits that the targets have named.
     on_change : callable or None
         Called without arguments after each change of the directory.
     on_removed : callable or None
@@ -25,6 +47,7 @@
 
     def __init__(self):
         self.targets: dict[str, Target] = {}
+        self.limits = LimitTable()
         self.on_change: Callable[[], None] | None = None
         self.on_removed: Callable[[Target], None] | None = None
 
@@ -55,6 +78,7 @@
         target = self.targets.pop(target_id, None)
         if target is None:
             return
+        self.limits.remove(target_id)
         log_event(
             events.TARGET_REMOVED, target=target_id, service=target.record.service, reason=reason
         )
@@ -70,6 +94,34 @@
                 found.append(target)
         return found
 
+    def record_state(
+        self, target: Target, response: ResponseState, sent_at: float, now: float
+    ) -> None:
+        """Record the load and the limit that the head of a response states.
+
+        Parameters
+        ----------
+        sent_at : float
+            Loop time in seconds at which the request was sent.
+        now : float
+            Loop time in seconds at which the head arrived.
+        """
+        if response.load is not None:
+            target.load = LoadReport(*response.load, now)
+        if response.limit_per_s is None and not response.stamp:
+            return
+        if self.limits.record(target.id, response.limit_per_s, sent_at, now):
+            self.log_limit(target)
+
+    def log_limit(self, target: Target) -> None:
+        """Log the limit that a target has just named, changed or ended."""
+        per_s = self.limits.per_s(target.id)
+        service = target.record.service
+        if per_s is None:
+            log_event(events.TARGET_LIMIT_ENDED, target=target.id, service=service)
+            return
+        log_event(events.TARGET_LIMIT_NAMED, target=target.id, service=service, per_s=per_s)
+
     def record_success(self, target: Target, now: float) -> None:
         """Record that a request got a complete response, which may end the target's suspicion."""
         target.record_response(now)
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -172,6 +172,15 @@
     Level.INFO,
     "{target} is missing now that the store is available again; kept for {seconds:.2f} s",
 )
+TARGET_LIMIT_NAMED = Event(
+    "TR2307",
+    "target_limit_named",
+    Level.INFO,
+    "{target} of {service} accepts {per_s} requests a second from all processes together",
+)
+TARGET_LIMIT_ENDED = Event(
+    "TR2308", "target_limit_ended", Level.INFO, "{target} of {service} names no limit any more"
+)
 
 # Requests
 
@@ -180,7 +189,7 @@
     "request_tried",
     Level.INFO,
     "attempt of request {request} at {target}: {outcome} after {ms:.1f} ms",
-    extra=("attempt", "in_flight", "load_age_s", "configuration"),
+    extra=("attempt", "in_flight", "load_age_s", "limit_per_s", "configuration"),
 )
 REQUEST_ENDED = Event(
     "TR2402",
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -25,6 +25,13 @@
 ATTEMPT_DURATION = Metric(
     "node_try_time", TIMING, "ms", "Duration of an attempt at a target.", ("outcome",)
 )
+LIMITED_ATTEMPTS = Metric(
+    "node_limited_tries",
+    COUNTER,
+    "tries",
+    "Attempts at targets that had named a limit to this process.",
+    ("target",),
+)
 LOT_SUBMISSIONS = Metric(
     "node_lot_submissions", COUNTER, "lots", "Submissions of lots by status.", ("status",)
 )
@@ -51,6 +58,9 @@
 SUSPICIONS = Metric(
     "node_targets_suspected", COUNTER, "targets", "Times that a target was suspected."
 )
+LIMITS_NAMED = Metric(
+    "node_target_limits", COUNTER, "limits", "Times that a target named a new limit."
+)
 DEPENDENCY_LOSSES = Metric(
     "node_dependency_losses", COUNTER, "losses", "Times the store was unavailable."
 )
@@ -101,6 +111,8 @@
     """Count an attempt at a target, and record its duration."""
     outcome = outcome_label(fields["outcome"])
     metrics.count(ATTEMPTS, outcome=outcome)
+    if fields["limit_per_s"] is not None:
+        metrics.count(LIMITED_ATTEMPTS, target=fields["target"])
     metrics.timing(ATTEMPT_DURATION, fields["ms"] / MS_PER_S, outcome=outcome)
 
 
@@ -163,6 +175,11 @@
     metrics.count(SUSPICIONS)
 
 
+def count_limit(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count a limit that a target has named."""
+    metrics.count(LIMITS_NAMED)
+
+
 def count_dependency_loss(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
     """Count a dependency that became unavailable."""
     metrics.count(DEPENDENCY_LOSSES)
@@ -184,6 +201,7 @@
     events.RESULTS_LISTED.code: count_results,
     events.ORDER_SENT.code: count_order,
     events.TARGET_SUSPECTED.code: count_suspicion,
+    events.TARGET_LIMIT_NAMED.code: count_limit,
     events.DEPENDENCY_LOST.code: count_dependency_loss,
 }
 
