--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -44,6 +44,8 @@
         (`mute_every`) without a byte sent; 0 affects none.
     late_orders : int
         Number of next orders that are applied only after `LATE_ORDER_S` and get no response.
+    limit_per_s : float or None
+        Limit that each response names; nothing enforces it.
     """
 
     lose_answers: int = 0
@@ -58,6 +60,7 @@
     lose_every: int = 0
     mute_every: int = 0
     late_orders: int = 0
+    limit_per_s: float | None = None
 
 
 class TargetStandIn:
@@ -89,6 +92,8 @@
     arrivals : list of Request
         Requests that arrived, apart from orders and calls for the report; those that the fault
         `shed` rejects are included.
+    arrival_times : list of float
+        Loop time in seconds of each of these arrivals.
     orders : list of dict
         Orders that changed a version.
     orders_accepted : int
@@ -127,6 +132,7 @@
         self.faults = TargetFaults()
         self.runs: list[tuple[str, str, str]] = []
         self.arrivals: list[Request] = []
+        self.arrival_times: list[float] = []
         self.orders: list[dict[str, Any]] = []
         self.orders_accepted = 0
         self.highest_fencing_token = 0
@@ -179,6 +185,7 @@
             await self.handle_order(request, responder)
             return
         self.arrivals.append(request)
+        self.arrival_times.append(asyncio.get_running_loop().time())
         attempt = request.headers.get("x-attempt-id", "")
         if self.faults.shed > 0:
             self.faults.shed -= 1
@@ -257,11 +264,14 @@
 
     def response_fields(self, attempt: str) -> list[tuple[str, str]]:
         """Return the header fields of a response."""
-        return [
+        fields = [
             ("X-Attempt-Id", attempt),
             ("X-Server-Stamp", f"stamp-{attempt}"),
             ("X-Server-Load", f"{self.active},0,{self.slots}"),
         ]
+        if self.faults.limit_per_s is not None:
+            fields.append(("Server-Limit", str(self.faults.limit_per_s)))
+        return fields
 
     async def generate(self, request: Request, responder: Responder, attempt: str) -> None:
         """Stream events, starting after the last one that the caller has received."""
