Keep to the limits of targets for all gateways together

Cause: no decision used the limit. Class: a bound on what several processes do together, kept by none of them, since each decides on what it sees alone.

Fix: one process arbitrates, the coordinator, or while it does not respond the host that would succeed it, without any contact with the store. It grants a permit for each request to a target with a limit: callers' requests, their retries, items and scorer calls. Limits spread with the pings between it and each process. A process that cannot reach it uses 1/n of each limit. What cannot get a permit within 80 ms is rejected at once, with a Retry-After from the rate that the limits leave; hedges and moves go to targets without a limit only. Decisions are pure (sharing/), calls are in coordination/permits.py.

--- a/tests/node/test_target_limits.py
+++ b/tests/node/test_target_limits.py
@@ -102,3 +102,33 @@
     await run_calls(world, gateways, 1.0, statuses)
     assert {status for status, _ in statuses} == {200}
     await eventually(lambda: all(not gateway.peers.pings for gateway in gateways))
+
+
+async def test_gateway_without_requests_learns_a_limit_from_the_others(world, gateways):
+    """Guards against a gateway that goes past a limit which only others have been told."""
+    world.targets["p1"].faults.limit_per_s = LIMIT_PER_S
+    observer, *others = [gateway for gateway in gateways if gateway.duty.token is None] + [
+        gateway for gateway in gateways if gateway.duty.token is not None
+    ]
+    while observer.directory.limits.per_s("p1") is None:
+        await world.call(observer, "POST", "/lookup/1")
+    for gateway in others:
+        await eventually(
+            lambda gateway=gateway: gateway.directory.limits.per_s("p1") == LIMIT_PER_S, CONTACT_S
+        )
+
+
+async def test_limit_holds_when_the_process_that_grants_permits_is_killed(world, gateways):
+    """Guards against gateways that send without a limit while no process grants permits."""
+    began = asyncio.get_running_loop().time()
+    for name in ("p1", "p2"):
+        world.targets[name].faults.limit_per_s = LIMIT_PER_S
+    await run_calls(world, gateways, CONTACT_S, [])
+    hub = gateways[0].peers.hub
+    remaining = [gateway for gateway in gateways if gateway.settings.host != hub]
+    await world.kill_gateway(hub)
+    await run_calls(world, remaining, RUN_S - CONTACT_S, [])
+    assert {gateway.peers.hub for gateway in remaining} != {hub}
+    for name in ("p1", "p2"):
+        found = most_arrivals(world.targets[name], began + CONTACT_S)
+        assert found <= allowed(LIMIT_PER_S)
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from turmericreach.batches.item_permits import ItemPermits
 from turmericreach.batches.run import BatchRun
 from turmericreach.placement import EngineState, ExpectedEnd, PlacementPolicy, RunningItem
-from turmericreach.placement.engines import DEFAULT_EVENT_S
+from turmericreach.placement.engines import DEFAULT_EVENT_S, restrict_versions
 from turmericreach.services import Target, TargetDirectory, first_event_timeout_s
+from turmericreach.sharing import PermitSource
 
 __all__ = ["ItemScheduler"]
 
@@ -26,6 +28,8 @@
         Known targets.
     policy : PlacementPolicy
         Decides which items start at which engine, and which move.
+    item_permits : ItemPermits
+        Permits to start items at engines that have named a limit.
     runs : dict of str to BatchRun
         Lots that run here, by id.
     division : dict of str to str
@@ -34,9 +38,12 @@
         Set to plan without waiting for the next interval.
     """
 
-    def __init__(self, directory: TargetDirectory, policy: PlacementPolicy | None = None):
+    def __init__(
+        self, directory: TargetDirectory, policy: PlacementPolicy | None, permits: PermitSource
+    ):
         self.directory = directory
         self.policy = policy or ExpectedEnd()
+        self.item_permits = ItemPermits(directory, permits, self.wake)
         self.runs: dict[str, BatchRun] = {}
         self.division: dict[str, str] = {}
         self.wakeup = asyncio.Event()
@@ -87,8 +94,15 @@
         targets = {target.id: target for target in self.directory.accepting_targets(service)}
         waiting = [item for run in runs for item in run.waiting_items(now)]
         if waiting:
-            for start in self.policy.starts(waiting, self.engines(targets, now), self.division):
+            states = self.engines(targets, now)
+            starts = self.policy.starts(waiting, states, self.division)
+            for start in starts:
+                self.item_permits.use(start.engine)
                 self.runs[start.item.lot].start_item(start.item.item, targets[start.engine])
+            if len(starts) < len(waiting):
+                priority = min(item.priority for item in waiting)
+                usable = restrict_versions(waiting, states, self.division)
+                self.item_permits.request(service, waiting, usable, priority)
         running = [item for run in runs for item in run.items.running_items(now)]
         if running:
             for move in self.policy.moves(running, self.candidate_engines(targets, running, now)):
@@ -102,7 +116,8 @@
         for target in targets.values():
             event_s = target.latency_s or DEFAULT_EVENT_S
             busy_s = [events * event_s for events in running.get(target.id, [])]
-            found.append(engine_state(target, busy_s, now))
+            state = engine_state(target, busy_s, now)
+            found.append(self.item_permits.with_permits(state, now))
         return found
 
     def candidate_engines(
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -10,7 +10,8 @@
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
 from turmericreach.placement import ExpectedEnd, PlacementPolicy
 from turmericreach.platform import targets as wire
-from turmericreach.services import Configuration, Target, TargetDirectory
+from turmericreach.services import Configuration, Route, Target, TargetDirectory
+from turmericreach.sharing import Denial, PermitSource
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -22,6 +23,8 @@
 TARGET_TIMEOUT_S = 1.5
 RETRY_PAUSE_S = 0.05
 SUSPECT_S = 2.0
+# Longest wait for a permit that has been granted.
+MAX_PERMIT_DELAY_S = 0.08
 
 
 @attrs.frozen
@@ -50,8 +53,16 @@
         Connections to targets.
     data_centre : str
         Data centre of this process, used by the placement policy.
-    policy : PlacementPolicy, optional
+    policy : PlacementPolicy or None
         Selects a target.
+    permits : PermitSource
+        Permits for targets that have named a limit.
+
+    Attributes
+    ----------
+    permit_turn : asyncio.Lock
+        Held while a permit is requested, so that the calls of this process do not compete with
+        each other and outnumber the requests of callers at the arbiter.
     """
 
     def __init__(
@@ -60,9 +71,12 @@
         directory: TargetDirectory,
         pool: ConnectionPool,
         data_centre: str,
-        policy: PlacementPolicy | None = None,
+        policy: PlacementPolicy | None,
+        permits: PermitSource,
     ):
         self.configuration = configuration
+        self.permits = permits
+        self.permit_turn = asyncio.Lock()
         self.policy = policy or ExpectedEnd()
         self.directory = directory
         self.pool = pool
@@ -85,6 +99,10 @@
                 avoided.clear()
                 await asyncio.sleep(2 * RETRY_PAUSE_S)
                 continue
+            if self.directory.limits.per_s(target.id) is not None:
+                target = await self.admit(route, target)
+                if target is None:
+                    continue
             attempt += 1
             started_at = loop.time()
             status, stamp, detail = await self.send(scorer, target)
@@ -109,6 +127,29 @@
                 self.directory.record_failure(target, detail, SUSPECT_S, loop.time())
             await asyncio.sleep(RETRY_PAUSE_S * (0.5 + self.random.random()))
 
+    async def admit(self, route: Route, preferred: Target) -> Target | None:
+        """Obtain a permit for one of the targets with a limit; None if another should be selected.
+
+        Returns
+        -------
+        Target or None
+            None after a denial, or if the target has left meanwhile.
+        """
+        async with self.permit_turn:
+            now = asyncio.get_running_loop().time()
+            if preferred.id in self.permits.denied_targets(MAX_PERMIT_DELAY_S, now):
+                return None
+            targets = [preferred.id]
+            for target in self.directory.accepting_targets(preferred.record.service):
+                if target is not preferred and self.directory.limits.per_s(target.id) is not None:
+                    targets.append(target.id)
+            permit = await self.permits.acquire(targets, route.priority, MAX_PERMIT_DELAY_S)
+        if isinstance(permit, Denial):
+            return None
+        if permit.delay_s > 0:
+            await asyncio.sleep(permit.delay_s)
+        return self.directory.targets.get(permit.target)
+
     def select(self, scorer: Scorer, now: float, avoided: set[str]):
         """Return the route of a scorer and the selected target, each None if there is none."""
         configuration = self.configuration()
@@ -118,8 +159,9 @@
         if route is None:
             return None, None
         service = route.choose_service(self.random)
+        excluded = avoided | self.permits.denied_targets(MAX_PERMIT_DELAY_S, now)
         target = self.policy.choose(
-            self.directory.accepting_targets(service), now, self.data_centre, avoided
+            self.directory.accepting_targets(service), now, self.data_centre, excluded
         )
         return route, target
 
--- a/turmericreach/coordination/messages.py
+++ b/turmericreach/coordination/messages.py
@@ -6,7 +6,17 @@
 from turmericreach.batches.records import BatchRecord
 from turmericreach.metadata import ObjectChange
 
-__all__ = ["ChangePage", "HandOver", "LoadNotice", "LotNotice", "PeerStatus"]
+__all__ = [
+    "ChangePage",
+    "HandOver",
+    "LoadNotice",
+    "LotNotice",
+    "PeerStatus",
+    "PermitReply",
+    "PermitRequest",
+    "SharedState",
+    "TargetLimit",
+]
 
 
 @attrs.frozen
@@ -31,6 +41,10 @@
         Measured seconds per event at engines, by target id.
     order_age_s : float
         Seconds since the last order of the process to a target.
+    shared_revision : int
+        Revision of the process's table of shared facts.
+    observed_revision : int
+        Revision of the newest of them that the process has observed itself.
     """
 
     host: str
@@ -41,6 +55,8 @@
     changes: dict[str, int] = attrs.field(factory=dict)
     event_s: dict[str, float] = attrs.field(factory=dict)
     order_age_s: float = 1e9
+    shared_revision: int = 0
+    observed_revision: int = 0
 
 
 @attrs.frozen
@@ -111,3 +127,76 @@
     model: str
     version: int
     ready_in_s: float
+
+
+@attrs.frozen
+class TargetLimit:
+    """What the sender knows of the limit of a target.
+
+    Attributes
+    ----------
+    target : str
+        Id of the target.
+    per_s : float or None
+        Requests a second that the target accepts, None if it no longer names a limit.
+    since_s : float
+        Seconds since a response first said so.
+    confirmed_s : float
+        Seconds since the last response that said so.
+    """
+
+    target: str
+    per_s: float | None
+    since_s: float
+    confirmed_s: float
+
+
+@attrs.frozen
+class SharedState:
+    """What several processes share about targets.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the sender's table; the next call asks for what comes after it.
+    limits : list of TargetLimit
+        Limits that became known after the requested revision.
+    """
+
+    revision: int
+    limits: list[TargetLimit] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class PermitRequest:
+    """Request for a permit for one of several targets that have named a limit.
+
+    Attributes
+    ----------
+    limits : list of TargetLimit
+        Targets, the preferred ones first, with what the sender knows of their limits.
+    priority : int
+        Priority of the request to be sent; 0 is the highest.
+    max_delay_s : float
+        Longest time in seconds that the request can wait.
+    """
+
+    limits: list[TargetLimit]
+    priority: int
+    max_delay_s: float
+
+
+@attrs.frozen
+class PermitReply:
+    """Response to a request for a permit.
+
+    Attributes
+    ----------
+    target : str
+        Id of the target that the permit is for, empty if there is none.
+    wait_s : float
+        Seconds until the request may be sent; without a permit, seconds after which to ask again.
+    """
+
+    target: str
+    wait_s: float
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
 import msgspec
 
 from turmericreach.coordination.messages import PeerStatus
-from turmericreach.coordination.names import HOST_PREFIX, OWN_KIND
+from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, OWN_KIND
 from turmericreach.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -126,6 +127,11 @@
         Mirrors of this process by kind; they are notified of changes that others have seen.
     coordinator : str or None
         Host of the coordinator, None if unknown.
+    hub : str or None
+        Host that arbitrates what all processes share: the coordinator while it responds, else the
+        live host that would succeed it. It needs no contact with the store.
+    on_status : callable or None
+        Called with a peer after each status that it has reported.
     last_coordinator_ping_at : float
         Loop time in seconds of the coordinator's last ping to this process.
     last_order_at : float
@@ -152,6 +158,8 @@
         self.mirrors: dict[str, KindMirror] = {}
         self.directory: TargetDirectory | None = None
         self.coordinator: str | None = None
+        self.hub: str | None = None
+        self.on_status: Callable[[Peer], Awaitable[None]] | None = None
         self.last_coordinator_ping_at = float("-inf")
         self.last_order_at = float("-inf")
         self.pings: set[asyncio.Task] = set()
@@ -208,6 +216,10 @@
             changes={kind: mirror.newest_revision for kind, mirror in self.mirrors.items()},
             event_s=self.measured_event_s(),
             order_age_s=min(asyncio.get_running_loop().time() - self.last_order_at, 1e9),
+            shared_revision=0 if self.directory is None else self.directory.limits.revision,
+            observed_revision=(
+                0 if self.directory is None else self.directory.limits.observed_revision()
+            ),
         )
 
     def last_possible_order_at(self, host: str, now: float) -> float:
@@ -247,7 +259,8 @@
 
     def ping_interval_s(self, host: str) -> float:
         """Return the seconds between two pings to a peer."""
-        if self.coordinator in (host, self.host):
+        central = (host, self.host)
+        if self.coordinator in central or self.hub in central:
             return PING_INTERVAL_S
         return max(PING_INTERVAL_S, PING_INTERVAL_PER_PEER_S * len(self.peers))
 
@@ -313,6 +326,26 @@
             hosts.pop(self.host, None)
         return choose_owner(subject, hosts)
 
+    def choose_hub(self, now: float) -> str | None:
+        """Return the host that arbitrates what all processes share, None if there is none."""
+        if self.coordinator is not None and self.is_available(self.coordinator, now):
+            return self.coordinator
+        hosts = {
+            host: self.cores_of(host)
+            for host in (self.host, *self.peers)
+            if self.is_available(host, now)
+        }
+        return choose_owner(DUTY_NAME, hosts)
+
+    def is_available(self, host: str, now: float) -> bool:
+        """Return whether a host responds and is not about to stop."""
+        if host == self.host:
+            return not self.leaving
+        if not self.is_alive(host, now):
+            return False
+        status = self.peers[host].status
+        return status is None or not status.leaving
+
     def record_ping(self, host: str | None) -> None:
         """Record a ping of a host if it is the coordinator."""
         if host is not None and host == self.coordinator:
@@ -323,6 +356,7 @@
         loop = asyncio.get_running_loop()
         while True:
             now = loop.time()
+            self.hub = self.choose_hub(now)
             for peer in list(self.peers.values()):
                 if now - peer.last_ping_at < self.ping_interval_s(peer.host):
                     continue
@@ -355,6 +389,8 @@
         for kind, revision in status.changes.items():
             if kind in self.mirrors:
                 self.mirrors[kind].check_for_missed_change(revision)
+        if self.on_status is not None:
+            await self.on_status(peer)
 
     # Calls
 
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -12,6 +12,7 @@
 from turmericreach.placement import PlacementPolicy, hedge_delay_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import RouteKind, Target, TargetDirectory
+from turmericreach.sharing import PermitSource
 
 __all__ = ["Forwarder"]
 
@@ -53,6 +54,8 @@
         Data centre of this process, for the selection of targets.
     policy : PlacementPolicy
         Selects among targets.
+    permits : PermitSource
+        Permits for targets that have named a limit.
     """
 
     def __init__(
@@ -61,8 +64,9 @@
         pool: ConnectionPool,
         data_centre: str,
         policy: PlacementPolicy,
+        permits: PermitSource,
     ):
-        self.attempts = TargetAttempts(directory, pool, data_centre, policy)
+        self.attempts = TargetAttempts(directory, pool, data_centre, policy, permits)
         self.streams = StreamForwarder(self.attempts)
 
     async def forward(self, exchange: Exchange) -> None:
@@ -133,7 +137,7 @@
         try:
             while True:
                 if not running or self.may_hedge(exchange, running):
-                    target = self.attempts.select_target(exchange)
+                    target = await self.next_target(exchange, bool(running))
                     if target is not None:
                         running[self.start_attempt(exchange, target)] = target
                     elif not running:
@@ -157,6 +161,16 @@
             for task in running:
                 task.cancel()
 
+    async def next_target(self, exchange: Exchange, is_hedge: bool) -> Target | None:
+        """Return the target of the next attempt, None if no target can accept the request.
+
+        A hedge goes only to targets without a limit: it must not use up what other requests need,
+        nor wait while the response of the first attempt may arrive.
+        """
+        if is_hedge:
+            return self.attempts.select_target(exchange, unlimited=True)
+        return await self.attempts.admit(exchange)
+
     def attempts_exhausted(self, exchange: Exchange) -> bool:
         """Return whether the request may not be run again."""
         if exchange.possible_runs >= exchange.route.max_attempts:
@@ -172,6 +186,8 @@
             return False
         if exchange.attempt_count >= REJECTIONS_PER_TARGET * exchange.route.max_attempts:
             return False
+        if self.attempts.are_limits_exhausted(exchange):
+            return False
         exchange.tried_targets.clear()
         return True
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -15,6 +15,7 @@
 from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.names import DIVISION_NAME, DUTY_NAME, HOST_PREFIX, OWN_KIND
 from turmericreach.coordination.peers import PeerTable
+from turmericreach.coordination.permits import SharedStateReader, TargetPermits
 from turmericreach.coordination.relay import RelaySource
 from turmericreach.http1 import (
     BUFFER_MEMORY_SHARE,
@@ -41,7 +42,7 @@
 from turmericreach.placement import POLICIES
 from turmericreach.platform import store as store_wire
 from turmericreach.platform.names import READY_PATH
-from turmericreach.services import TargetDirectory
+from turmericreach.services import Target, TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 from turmericreach.versions.converger import VersionConverger
@@ -99,7 +100,9 @@
             limits,
         )
         self.placement = POLICIES[settings.placement]()
-        self.scheduler = ItemScheduler(self.directory, self.placement)
+        self.permits = TargetPermits(self.directory.limits, self.peers)
+        self.shared_state = SharedStateReader(self.peers, self.permits)
+        self.scheduler = ItemScheduler(self.directory, self.placement, self.permits)
         self.registry = self.make_registry()
         self.handover = LotHandover(self.registry, self.peers)
         self.duty = CoordinatorDuty(
@@ -144,6 +147,7 @@
             self.pool,
             self.settings.data_centre,
             self.placement,
+            self.permits,
         )
         return BatchRegistry(
             self.settings.host,
@@ -176,7 +180,9 @@
             self.peers,
             self.settings.store.value_bytes,
         )
-        forwarder = Forwarder(self.directory, self.pool, self.settings.data_centre, self.placement)
+        forwarder = Forwarder(
+            self.directory, self.pool, self.settings.data_centre, self.placement, self.permits
+        )
         caller_api = CallerApi(self.configuration, self.client, forwarder, self.lot_api)
         peer_api = PeerApi(
             self.peers,
@@ -185,6 +191,7 @@
             self.handover,
             self.converger,
             caller_api,
+            self.permits,
         )
         self.peer_server = HttpServer(peer_api.handle, self.within_memory(PEER_LIMITS))
         return HttpServer(caller_api.handle)
@@ -192,10 +199,11 @@
     def connect_components(self) -> None:
         """Register the callbacks between components."""
         self.directory.on_change = self.scheduler.wake
-        self.directory.on_removed = lambda target: self.pool.remove_address(target.record.address)
+        self.directory.on_removed = self.target_removed
         self.registry.can_confirm_ownership = self.is_ownership_confirmed
         self.peers.mirrors = self.mirrors
         self.peers.directory = self.directory
+        self.peers.on_status = self.shared_state.update
         self.configuration.on_change = self.apply_configuration
 
     def object_changed(self, object: StoredObject) -> None:
@@ -214,6 +222,11 @@
         if object.name.startswith(HOST_PREFIX):
             self.peers.object_removed(object)
 
+    def target_removed(self, target: Target) -> None:
+        """Drop the connections to a target that was removed, and its permits."""
+        self.pool.remove_address(target.record.address)
+        self.permits.remove(target.id)
+
     def apply_configuration(self) -> None:
         """Apply the limits and models of a new configuration."""
         configuration = self.configuration.current
--- a/turmericreach/node/metrics_page.py
+++ b/turmericreach/node/metrics_page.py
@@ -7,6 +7,7 @@
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.peers import PeerTable
+from turmericreach.coordination.permits import TargetPermits
 from turmericreach.http1 import ConnectionPool, Request, Responder
 from turmericreach.metadata import MetadataClient
 from turmericreach.node.configuration import ConfigurationHolder
@@ -32,6 +33,7 @@
     scheduler: ItemScheduler
     peers: PeerTable
     duty: CoordinatorDuty
+    permits: TargetPermits
 
 
 class MetricsPage:
@@ -83,6 +85,8 @@
         page.gauge(metrics.CONFIGURATION, sources.configuration.version())
         page.gauge(metrics.CONNECTIONS, sources.pool.opened)
         page.gauge(metrics.COORDINATES, int(sources.duty.token is not None))
+        for result, number in sources.permits.counts.items():
+            page.gauge(metrics.PERMITS, number, result=result)
         page.gauge(metrics.LOG_DROPPED, EVENT_LOG.count_dropped_lines())
         page.gauge(metrics.LOOP_LAG, round(max(self.lags, default=0.0) * 1000, 1))
         self.set_target_gauges()
--- a/turmericreach/node/peer_api.py
+++ b/turmericreach/node/peer_api.py
@@ -6,8 +6,9 @@
 
 from turmericreach.batches.handover import LotHandover
 from turmericreach.batches.registry import BatchRegistry
-from turmericreach.coordination.messages import HandOver, LoadNotice, LotNotice
+from turmericreach.coordination.messages import HandOver, LoadNotice, LotNotice, PermitRequest
 from turmericreach.coordination.peers import PeerTable
+from turmericreach.coordination.permits import PERMIT_PATH, SHARED_STATE_PATH, TargetPermits
 from turmericreach.coordination.relay import serve_watch
 from turmericreach.http1 import Request, Responder, query_value
 from turmericreach.metadata import HistoryGone, KindMirror
@@ -31,6 +32,7 @@
         handover: LotHandover,
         converger: VersionConverger,
         caller_api: CallerApi,
+        permits: TargetPermits,
     ):
         self.peers = peers
         self.mirrors = mirrors
@@ -38,6 +40,7 @@
         self.handover = handover
         self.converger = converger
         self.caller_api = caller_api
+        self.permits = permits
         self.handlers = {
             ("GET", "/peer/status"): self.send_status,
             ("GET", "/peer/watch"): self.send_changes,
@@ -45,6 +48,8 @@
             ("POST", "/peer/lot"): self.apply_lot_notice,
             ("POST", "/peer/take"): self.accept_lot,
             ("POST", "/peer/loading"): self.handle_load_notice,
+            ("POST", PERMIT_PATH): self.grant_permit,
+            ("GET", SHARED_STATE_PATH): self.send_shared_state,
         }
 
     async def handle(self, request: Request, responder: Responder) -> None:
@@ -108,6 +113,23 @@
         self.converger.apply_load_notice(msgspec.json.decode(request.body, type=LoadNotice))
         responder.send(200)
 
+    async def grant_permit(self, request: Request, responder: Responder) -> None:
+        """Decide on a request for a permit, or respond with 409 if another process arbitrates."""
+        reply = self.permits.grant(msgspec.json.decode(request.body, type=PermitRequest))
+        if reply is None:
+            responder.send(409)
+            return
+        send_message(responder, reply)
+
+    async def send_shared_state(self, request: Request, responder: Responder) -> None:
+        """Send what this process knows of targets' limits after a revision of its table."""
+        after = query_value(request.query, "after") or ""
+        if not after.isdigit():
+            responder.send(400)
+            return
+        observed_only = query_value(request.query, "observed") == "1"
+        send_message(responder, self.permits.state_after(int(after), observed_only))
+
 
 def send_message(responder: Responder, message: Any) -> None:
     """Send a message as JSON with status 200."""
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -27,7 +27,7 @@
         """Serve a stream until it is complete or can no longer be resumed."""
         last_event_id = exchange.attempt.last_event_id
         while True:
-            target = self.attempts.select_target(exchange)
+            target = await self.attempts.admit(exchange)
             if target is None:
                 if exchange.responder.started or not self.may_retry_later(exchange):
                     break
@@ -57,6 +57,8 @@
         """
         if not exchange.tried_targets or exchange.attempt_count >= MAX_REJECTIONS:
             return False
+        if self.attempts.are_limits_exhausted(exchange):
+            return False
         exchange.tried_targets.clear()
         return True
 
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -17,6 +17,7 @@
 from turmericreach.placement import PlacementPolicy, ReturnSchedule, service_rate_per_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import Target, TargetDirectory
+from turmericreach.sharing import Denial, PermitSource
 
 __all__ = ["SUSPECT_S", "TargetAttempt", "TargetAttempts"]
 
@@ -25,6 +26,10 @@
 # A pooled connection that was idle for longer may be closing; only repeatable requests are sent on
 # it.
 REUSE_MAX_IDLE_S = 1.0
+# Longest wait for a permit, in seconds and as a share of the time until the deadline. A caller that
+# would have to wait longer is rejected at once.
+MAX_PERMIT_DELAY_S = 0.08
+PERMIT_DELAY_SHARE = 0.1
 
 
 @attrs.define
@@ -66,6 +71,8 @@
         Data centre of this process, for the selection of targets.
     policy : PlacementPolicy
         Selects among targets.
+    permits : PermitSource
+        Permits for targets that have named a limit.
     """
 
     def __init__(
@@ -74,8 +81,10 @@
         pool: ConnectionPool,
         data_centre: str,
         policy: PlacementPolicy,
+        permits: PermitSource,
     ):
         self.directory = directory
+        self.permits = permits
         self.policy = policy
         self.pool = pool
         self.data_centre = data_centre
@@ -86,12 +95,22 @@
         """Return the seconds after which a request that no target accepted may come again."""
         service = exchange.route.services[0].service
         now = asyncio.get_running_loop().time()
-        rate_per_s = service_rate_per_s(self.directory.accepting_targets(service), now)
+        rate_per_s = service_rate_per_s(
+            self.directory.accepting_targets(service),
+            now,
+            self.directory.limits.per_s,
+            self.permits.processes(),
+        )
         return self.returns.busy_retry_s(service, rate_per_s, now)
 
-    def select_target(self, exchange: Exchange) -> Target | None:
+    def select_target(self, exchange: Exchange, unlimited: bool = False) -> Target | None:
         """Select a target of the route to which the request was not sent yet.
 
+        Parameters
+        ----------
+        unlimited : bool
+            Whether only targets without a limit are selected.
+
         Returns
         -------
         Target or None
@@ -99,9 +118,64 @@
         """
         service = exchange.route.choose_service(self.random)
         now = asyncio.get_running_loop().time()
-        return self.policy.choose(
-            self.directory.accepting_targets(service), now, self.data_centre, exchange.tried_targets
+        excluded = exchange.tried_targets | self.permits.denied_targets(
+            max_permit_delay_s(exchange), now
         )
+        candidates = self.directory.accepting_targets(service)
+        if unlimited:
+            candidates = [target for target in candidates if not self.is_limited(target)]
+        return self.policy.choose(candidates, now, self.data_centre, excluded)
+
+    async def admit(self, exchange: Exchange) -> Target | None:
+        """Select a target and obtain a permit for it if it has named a limit.
+
+        Returns
+        -------
+        Target or None
+            None if no target can accept the request now.
+        """
+        while True:
+            target = self.select_target(exchange)
+            if target is None or not self.is_limited(target):
+                return target
+            targets = self.limited_candidates(exchange, target)
+            permit = await self.permits.acquire(
+                [candidate.id for candidate in targets],
+                exchange.route.priority,
+                max_permit_delay_s(exchange),
+            )
+            if isinstance(permit, Denial):
+                continue
+            if permit.delay_s > 0:
+                await asyncio.sleep(permit.delay_s)
+            admitted = self.directory.targets.get(permit.target)
+            if admitted is not None and not admitted.record.draining:
+                return admitted
+
+    def limited_candidates(self, exchange: Exchange, preferred: Target) -> list[Target]:
+        """Return the targets with a limit that may serve a request, a preferred one first."""
+        found = [preferred]
+        for target in self.directory.accepting_targets(preferred.record.service):
+            if target is preferred or target.id in exchange.tried_targets:
+                continue
+            if self.is_limited(target):
+                found.append(target)
+        return found
+
+    def is_limited(self, target: Target) -> bool:
+        """Return whether a target has named a limit."""
+        return self.directory.limits.per_s(target.id) is not None
+
+    def are_limits_exhausted(self, exchange: Exchange) -> bool:
+        """Return whether all targets of a request have limits that permit no request now."""
+        now = asyncio.get_running_loop().time()
+        denied = self.permits.denied_targets(max_permit_delay_s(exchange), now)
+        found = [
+            target
+            for part in exchange.route.services
+            for target in self.directory.accepting_targets(part.service)
+        ]
+        return bool(found) and all(target.id in denied for target in found)
 
     @contextlib.contextmanager
     def track(self, exchange: Exchange, target: Target) -> Iterator[TargetAttempt]:
@@ -192,3 +266,8 @@
         target.record_latency(now - sent_at)
         if head.status < 500:
             self.directory.record_success(target, now)
+
+
+def max_permit_delay_s(exchange: Exchange) -> float:
+    """Return the longest time in seconds that a request waits for the permit that it has."""
+    return min(MAX_PERMIT_DELAY_S, PERMIT_DELAY_SHARE * max(exchange.remaining_s(), 0.0))
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -84,6 +84,10 @@
         Groups whose prompt the engine has read.
     first_event_timeout_s : float
         Seconds after which the first event of a request at the engine is overdue.
+    permits : int or None
+        Number of items that may start now at an engine with a limit, None without a limit.
+    permit_interval_s : float
+        Seconds between two starts at the limit.
     """
 
     id: str
@@ -95,6 +99,13 @@
     suspected: bool = False
     groups: frozenset[str] = frozenset()
     first_event_timeout_s: float = float("inf")
+    permits: int | None = None
+    permit_interval_s: float = 0.0
+
+    def startable_slots(self) -> int:
+        """Return the number of items that may start now in its free slots."""
+        free = max(self.slots - len(self.busy_s), 0)
+        return free if self.permits is None else min(free, self.permits)
 
     def can_run(self, item: "WaitingItem") -> bool:
         """Return whether its weights are new enough for an item that it has not rejected."""
@@ -103,7 +114,7 @@
 
     def can_start_now(self, item: "WaitingItem") -> bool:
         """Return whether it can run an item and accepts requests now, without loading first."""
-        return self.ready_in_s <= 0 and self.can_run(item)
+        return self.ready_in_s <= 0 and self.permits != 0 and self.can_run(item)
 
 
 @attrs.frozen
@@ -131,7 +142,9 @@
         self.state = state
         self.groups = set(state.groups)
         slots = 1 if state.suspected else state.slots
-        self.free_at = [max(state.ready_in_s, 0.0)] * max(slots - len(state.busy_s), 0)
+        self.free_at = []
+        for number in range(max(slots - len(state.busy_s), 0)):
+            self.free_at.append(max(state.ready_in_s, start_in_s(state, number), 0.0))
         for seconds in sorted(state.busy_s)[: slots - len(self.free_at)]:
             self.free_at.append(max(seconds, state.ready_in_s, 0.001))
         heapq.heapify(self.free_at)
@@ -163,6 +176,13 @@
         return at <= 0.0
 
 
+def start_in_s(state: EngineState, number: int) -> float:
+    """Return the seconds until an engine's limit permits one start after a number of others."""
+    if state.permits is None:
+        return 0.0
+    return max(number - state.permits + 1, 0) * state.permit_interval_s
+
+
 def plan_starts(
     items: Iterable[WaitingItem],
     engines: Iterable[EngineState],
@@ -268,7 +288,7 @@
     """Return a sort key of engines, the most suitable first."""
     return (
         state.suspected,
-        len(state.busy_s) >= state.slots,
+        state.startable_slots() <= 0,
         groups.isdisjoint(state.groups),
         max(state.ready_in_s, 0.0),
         state.event_s or DEFAULT_EVENT_S,
--- a/turmericreach/placement/moves.py
+++ b/turmericreach/placement/moves.py
@@ -91,7 +91,8 @@
     free = {
         engine.id: engine.slots - len(engine.busy_s)
         for engine in states.values()
-        if not engine.suspected and engine.ready_in_s <= 0
+        # The starts at an engine with a limit are left to the items that wait.
+        if not engine.suspected and engine.ready_in_s <= 0 and engine.permits is None
     }
     free = fastest_first(free, states)
     moves = []
--- a/turmericreach/placement/policy.py
+++ b/turmericreach/placement/policy.py
@@ -77,7 +77,7 @@
     ) -> list[Start]:
         """Return starts for the items in the given order while engines have free slots."""
         states = list(engines)
-        free = {state.id: state.slots - len(state.busy_s) for state in states}
+        free = {state.id: state.startable_slots() for state in states}
         found = []
         for item in items:
             usable = [state for state in states if free[state.id] > 0 and state.can_start_now(item)]
--- a/turmericreach/placement/retry.py
+++ b/turmericreach/placement/retry.py
@@ -1,6 +1,6 @@
 """When rejected callers may return, and in which order."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from turmericreach.placement.target_choice import DEFAULT_LATENCY_S, LOAD_MAX_AGE_S
 from turmericreach.services import Target
@@ -23,16 +23,37 @@
 STARTING_RETRY_S = 0.5
 
 
-def service_rate_per_s(targets: Iterable[Target], now: float) -> float:
+def service_rate_per_s(
+    targets: Iterable[Target],
+    now: float,
+    limit_per_s: Callable[[str], float | None] = lambda target: None,
+    processes: int = 1,
+) -> float:
     """Return the requests a second that the targets complete for this process.
 
     Each target completes as many requests as it has slots in its usual response time. This process
-    gets the part of them that corresponds to its share of the requests at the target.
+    gets the part of them that corresponds to its share of the requests at the target. A target with
+    a limit completes as many as the limit says, and all processes get an equal part of them.
+
+    Parameters
+    ----------
+    targets : iterable of Target
+        Targets of the service that accept requests.
+    now : float
+        Loop time in seconds.
+    limit_per_s : callable
+        Returns the limit of a target in requests a second, by its id, None without one.
+    processes : int
+        Number of processes that send requests to the targets.
     """
     rate = 0.0
     for target in targets:
         if target.is_suspected(now):
             continue
+        per_s = limit_per_s(target.id)
+        if per_s is not None:
+            rate += per_s / processes
+            continue
         share = 1.0
         if target.load is not None and now - target.load.at < LOAD_MAX_AGE_S:
             requests = max(target.load.running + target.load.waiting, target.in_flight)
--- a/turmericreach/sharing/limits.py
+++ b/turmericreach/sharing/limits.py
@@ -4,6 +4,9 @@
 
 __all__ = ["Limit", "LimitTable"]
 
+# Bound on the targets remembered; those confirmed last are kept.
+MAX_TARGETS = 10_000
+
 
 @attrs.frozen
 class Limit:
@@ -17,24 +20,35 @@
         Time in seconds at which a response first said so.
     confirmed_at : float
         Time in seconds of the last response that said so.
+    revision : int
+        Revision of the table at which this became known.
+    observed : bool
+        Whether a response to this process said so, not only another process.
     """
 
     per_s: float | None
     since: float
     confirmed_at: float
+    revision: int
+    observed: bool
 
 
 class LimitTable:
     """The newest known limit of each target that has named one.
 
+    Processes exchange what changed, and the newest response decides.
+
     Attributes
     ----------
     limits : dict of str to Limit
         Limits by target id; targets that never named one are missing.
+    revision : int
+        Number of changes so far.
     """
 
     def __init__(self):
         self.limits: dict[str, Limit] = {}
+        self.revision = 0
 
     def per_s(self, target: str) -> float | None:
         """Return the requests a second that a target accepts, None without a limit."""
@@ -65,9 +79,47 @@
         if known is not None and known.per_s == per_s:
             self.limits[target] = attrs.evolve(known, confirmed_at=now)
             return False
-        self.limits[target] = Limit(per_s, now, now)
+        self.put(target, per_s, now, now, observed=True)
+        return True
+
+    def merge(self, target: str, per_s: float | None, since: float, confirmed_at: float) -> bool:
+        """Apply what another process knows of a target; return whether the limit changed.
+
+        Times are in seconds on this process's clock.
+        """
+        known = self.limits.get(target)
+        if known is not None and known.confirmed_at >= confirmed_at:
+            return False
+        if known is None and per_s is None:
+            return False
+        if known is not None and known.per_s == per_s:
+            self.limits[target] = attrs.evolve(known, confirmed_at=confirmed_at)
+            return False
+        self.put(target, per_s, since, confirmed_at, observed=False)
         return True
 
+    def put(
+        self, target: str, per_s: float | None, since: float, confirmed_at: float, observed: bool
+    ) -> None:
+        """Replace what is known of a target."""
+        self.revision += 1
+        self.limits[target] = Limit(per_s, since, confirmed_at, self.revision, observed)
+        if len(self.limits) > MAX_TARGETS:
+            oldest = min(self.limits, key=lambda name: self.limits[name].confirmed_at)
+            del self.limits[oldest]
+
+    def observed_revision(self) -> int:
+        """Return the revision of the newest limit that this process observed itself."""
+        return max((limit.revision for limit in self.limits.values() if limit.observed), default=0)
+
+    def changes_after(self, revision: int, observed_only: bool) -> dict[str, Limit]:
+        """Return the limits that became known after a revision, by target id."""
+        found = {}
+        for target, limit in self.limits.items():
+            if limit.revision > revision and (limit.observed or not observed_only):
+                found[target] = limit
+        return found
+
     def remove(self, target: str) -> None:
         """Remove a target that has left or restarted."""
         self.limits.pop(target, None)
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -181,6 +181,19 @@
 TARGET_LIMIT_ENDED = Event(
     "TR2308", "target_limit_ended", Level.INFO, "{target} of {service} names no limit any more"
 )
+PERMITS_UNAVAILABLE = Event(
+    "TR2309",
+    "permits_unavailable",
+    Level.WARNING,
+    "{peer} grants no permits; 1/{processes} of each target's limit is used: {reason}",
+    "Check the host if it does not respond again.",
+)
+SHARED_STATE_UNREAD = Event(
+    "TR2310",
+    "shared_state_unread",
+    Level.INFO,
+    "what {peer} knows of targets was not read, the next ping tries again: {reason}",
+)
 
 # Requests
 
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -83,6 +83,14 @@
 COORDINATES = Metric(
     "node_coordinates", GAUGE, "duty", "1 if this process is the coordinator, else 0."
 )
+PERMITS = Metric(
+    "node_permits",
+    GAUGE,
+    "permits",
+    "Requests for permits to send to targets with a limit, by result; those decided on the own "
+    "share are also counted by their result.",
+    ("result",),
+)
 LOG_DROPPED = Metric("node_log_dropped", GAUGE, "lines", "Log lines dropped.")
 LOOP_LAG = Metric("node_loop_lag", GAUGE, "ms", "Longest recent delay of the event loop.")
 
