Keep to the limits of targets on the own interface

A target can now name a limit (Turmericreach-Limit in its responses). All requests to a target pass through its agent, so the agent arbitrates with the same pure decisions as on the platform: attempts beyond the limit are rejected with overloaded and the time of the next permit.

The test fails without the two checks: 80 arrivals in 8 s where 20 are allowed (limit 2.0 a second).

--- a/tests/daemon/test_hosted.py
+++ b/tests/daemon/test_hosted.py
@@ -100,3 +100,41 @@
     task.cancel()
     outcome = await server.settle("a1", 1, 10_000, 5.0)
     assert outcome.verdict is Verdict.ANSWERED
+
+
+class LimitedAdapter:
+    """A target that names a limit in each response and records when requests arrive."""
+
+    def __init__(self, per_s):
+        self.per_s = per_s
+        self.on_limit = None
+        self.arrivals = []
+
+    async def run(self, call, writer):
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        self.on_limit(self.per_s, now)
+        return Outcome(Verdict.ANSWERED, status=200), False
+
+
+async def test_attempts_beyond_the_limit_of_a_target_are_rejected_at_once():
+    """Guards against an agent that sends more than the limit that its target has named."""
+    server, target = make_server()
+    target.adapter = LimitedAdapter(2.0)
+    target.adapter.on_limit = target.record_limit
+    outcomes = []
+    for number in range(80):
+        attempt = make_attempt(attempt_id=f"a{number}", deadline_ms=1_000_000)
+        began = asyncio.get_running_loop().time()
+        outcomes.append(await server.submit(attempt, None))
+        assert asyncio.get_running_loop().time() - began < 0.05
+        await asyncio.sleep(0.1)
+    assert 2.0 * 8 <= len(target.adapter.arrivals) <= 2.0 * 8 + 4
+    rejected = [outcome for outcome in outcomes if outcome.verdict is Verdict.NOT_RUN]
+    assert {outcome.code for outcome in rejected} == {ErrorCode.OVERLOADED}
+    assert all(0 < outcome.retry_after_s <= 0.5 for outcome in rejected)
+    target.adapter.per_s = None
+    await asyncio.sleep(1.0)
+    for number in range(20):
+        attempt = make_attempt(attempt_id=f"b{number}", deadline_ms=1_000_000)
+        assert (await server.submit(attempt, None)).verdict is Verdict.ANSWERED
--- a/tests/sharing/test_limits.py
+++ b/tests/sharing/test_limits.py
@@ -1,7 +1,6 @@
 """Limits that targets name."""
 
-from turmericreach.platform.targets import parse_limit
-from turmericreach.sharing import LimitTable
+from turmericreach.sharing import LimitTable, parse_rate
 
 
 def test_overtaken_response_without_a_limit_does_not_end_the_limit():
@@ -16,6 +15,6 @@
 
 def test_limit_field_takes_plain_decimal_numbers_only():
     """Guards against a rate of infinity, of no number, or below zero."""
-    assert [parse_limit(text) for text in ("2", " 2.5 ", "0")] == [2.0, 2.5, 0.0]
+    assert [parse_rate(text) for text in ("2", " 2.5 ", "0")] == [2.0, 2.5, 0.0]
     for text in (None, "", "nan", "inf", "-1", "1e9", "2,5", "1" * 40):
-        assert parse_limit(text) is None
+        assert parse_rate(text) is None
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -18,6 +18,7 @@
 )
 from turmericreach.manifest import Manifest, ServiceKind, ServiceSpec, TargetSpec
 from turmericreach.rpc import Attempt
+from turmericreach.sharing import LimitTable, Permit, RateArbiter
 from turmericreach.targets import EngineError, HttpService, OpenAIEngine, ServiceCall
 from turmericreach.telemetry import Metrics, events, log_event
 from turmericreach.telemetry import metric_catalogue as metrics
@@ -28,6 +29,8 @@
 # Priorities of calls at an engine.
 ROLLOUT_PRIORITY = 10
 SCORING_PRIORITY = 5
+# Order in which attempts get the permits of a target's limit; 0 is the highest priority.
+PERMIT_PRIORITY = {Priority.ORDINARY: 0, Priority.SCORING: 1, Priority.ROLLOUT: 2}
 
 
 class HostedTarget:
@@ -62,6 +65,11 @@
         Number of slots that rollouts may use, adapted to the latency of ordinary requests.
     calendar : SiteCalendar
         Slots reserved for ordinary requests during the hours of sites.
+    limits : LimitTable
+        Limit in requests a second that the target has named.
+    arbiter : RateArbiter
+        Permits within that limit. All requests to the target pass through this agent, so its
+        permits are those of all hosts.
     waiting : dict of str to asyncio.Future
         Attempts in the queues, by id. The result is None once an attempt holds a slot, or the
         code and reason of its rejection.
@@ -92,6 +100,9 @@
         self.table = table
         self.adapter = HttpService(spec.url, session, fresh_session)
         self.engine = OpenAIEngine(spec.url, session, service.model)
+        self.adapter.on_limit = self.engine.on_limit = self.record_limit
+        self.limits = LimitTable()
+        self.arbiter = RateArbiter()
         shares = {trainer.name: trainer.share for trainer in manifest.trainers}
         self.admission = Admission(spec, service, manifest.policy, shares)
         self.window = RolloutWindow(spec.slots, manifest.policy, now)
@@ -195,7 +206,9 @@
         )
         streamed = False
         try:
-            rejection_outcome = self.table.start(entry, started)
+            rejection_outcome = self.take_permit(entry, attempt, started)
+            if rejection_outcome is None:
+                rejection_outcome = self.table.start(entry, started)
             if rejection_outcome is not None:
                 outcome = rejection_outcome
                 return rejection_outcome
@@ -204,6 +217,46 @@
         finally:
             self.finish(entry, attempt, outcome, streamed, arrived, loop.time())
 
+    def record_limit(self, per_s: float | None, sent_at: float) -> None:
+        """Record the limit that a response of the target names, None if it names none."""
+        name, now = self.spec.name, asyncio.get_running_loop().time()
+        if self.limits.record(name, per_s, sent_at, now):
+            log_event(events.TARGET_LIMIT_CHANGED, target=name, limit=per_s)
+
+    def permit_wait_s(self, attempt: Attempt, now: float) -> float:
+        """Return the seconds until the target's limit permits an attempt, 0 if it does now."""
+        name = self.spec.name
+        per_s = self.limits.per_s(name)
+        if per_s is None:
+            return 0.0
+        return self.arbiter.wait_s(name, per_s, PERMIT_PRIORITY[attempt.priority], now)
+
+    def take_permit(self, entry, attempt: Attempt, now: float) -> Outcome | None:
+        """Use a permit of the target's limit; return the outcome of the rejection without one."""
+        name = self.spec.name
+        per_s = self.limits.per_s(name)
+        if per_s is None:
+            return None
+        result = self.arbiter.request({name: per_s}, PERMIT_PRIORITY[attempt.priority], 0.0, now)
+        if isinstance(result, Permit):
+            return None
+        return self.reject_over_limit(entry, attempt, result.retry_s)
+
+    def reject_over_limit(self, entry, attempt: Attempt, retry_after_s: float) -> Outcome:
+        """Reject an attempt that the target's limit does not permit now."""
+        log_event(
+            events.ADMISSION_REFUSED,
+            target=self.spec.name,
+            reason="limit of the target",
+            retry_after_s=retry_after_s,
+            request_id=attempt.request_id,
+            priority=attempt.priority,
+        )
+        self.sink.count(metrics.REFUSALS, reason=ErrorCode.OVERLOADED)
+        return self.table.revoke(
+            entry, ErrorCode.OVERLOADED, "the target's limit is reached", retry_after_s
+        )
+
     async def admit(self, entry, attempt: Attempt, loop) -> Outcome | None:
         """Wait for a slot; return the outcome of the rejection if the attempt gets none."""
         if self.spec.drain or self.drained:
@@ -212,6 +265,9 @@
             return self.table.revoke(
                 entry, ErrorCode.NOT_READY, f"version {self.version} is too old", 1.0
             )
+        wait_s = self.permit_wait_s(attempt, loop.time())
+        if wait_s > 0:
+            return self.reject_over_limit(entry, attempt, wait_s)
         ticket = Ticket(
             id=attempt.attempt_id,
             priority=Priority(attempt.priority),
--- a/turmericreach/httpclient/__init__.py
+++ b/turmericreach/httpclient/__init__.py
@@ -1,18 +1,24 @@
 """HTTP client sessions that send each request once, and bounded reading of responses."""
 
 from turmericreach.httpclient.response import (
+    LIMIT_HEADER,
+    LimitObserver,
     ResponseLengthUnknown,
     ResponseTooLarge,
     check_length_known,
+    observe_limit,
     read_response,
     retry_after_s,
 )
 from turmericreach.httpclient.session import open_session
 
 __all__ = [
+    "LIMIT_HEADER",
+    "LimitObserver",
     "ResponseLengthUnknown",
     "ResponseTooLarge",
     "check_length_known",
+    "observe_limit",
     "open_session",
     "read_response",
     "retry_after_s",
--- a/turmericreach/httpclient/response.py
+++ b/turmericreach/httpclient/response.py
@@ -1,20 +1,27 @@
 """Reading of complete HTTP responses within a size limit."""
 
 import math
+from collections.abc import Callable
 
 import aiohttp
 
+from turmericreach.sharing import parse_rate
 from turmericreach.verdicts import TurmericreachError
 
 __all__ = [
     "ResponseLengthUnknown",
     "ResponseTooLarge",
+    "LimitObserver",
     "check_length_known",
+    "observe_limit",
     "read_response",
     "retry_after_s",
 ]
 
+LIMIT_HEADER = "Turmericreach-Limit"
 MAX_RETRY_AFTER_S = 60.0
+# Called with the limit that a response names (None without one) and the time its request was sent.
+LimitObserver = Callable[[float | None, float], None]
 STATUSES_WITHOUT_BODY = (204, 304)
 
 
@@ -81,3 +88,21 @@
     if not math.isfinite(seconds):
         return default_s
     return min(max(seconds, 0.0), MAX_RETRY_AFTER_S)
+
+
+def observe_limit(
+    response: aiohttp.ClientResponse, sent_at: float, observer: LimitObserver | None
+) -> None:
+    """Report the limit in requests a second that a response names, if there is an observer.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Response of a target.
+    sent_at : float
+        Loop time in seconds at which its request was sent.
+    observer : callable or None
+        Receives the limit, None if the response names none, and the time.
+    """
+    if observer is not None:
+        observer(parse_rate(response.headers.get(LIMIT_HEADER)), sent_at)
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -1,7 +1,5 @@
 """Protocol between the product and targets: requests, responses, reports and orders."""
 
-import re
-
 import attrs
 import msgspec
 
@@ -21,6 +19,7 @@
     SERVER_STAMP,
     WEIGHT_VERSIONS,
 )
+from turmericreach.sharing import parse_rate
 
 __all__ = [
     "ORDER_PATH",
@@ -44,8 +43,6 @@
 
 # Header fields, in lower case, that the product sets itself instead of copying the caller's.
 SET_BY_PRODUCT = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), PRIORITY.lower()})
-# Excludes the signs, exponents and names such as "nan" that `float` accepts.
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 WEIGHT_VERSIONS_LINE = WEIGHT_VERSIONS.lower() + ":"
 
 
@@ -263,17 +260,10 @@
         stamp=headers.get(SERVER_STAMP, ""),
         weight_version=int(version) if version.isdigit() else None,
         load=parse_load(headers.get(SERVER_LOAD)),
-        limit_per_s=parse_limit(headers.get(SERVER_LIMIT)),
+        limit_per_s=parse_rate(headers.get(SERVER_LIMIT)),
     )
 
 
-def parse_limit(text: str | None) -> float | None:
-    """Return the rate of a limit field, or None if it is missing, malformed or negative."""
-    if text is None or not DECIMAL.fullmatch(text.strip()):
-        return None
-    return float(text)
-
-
 def parse_load(text: str | None) -> tuple[int, int, int] | None:
     """Return the three numbers of a load field, or None if it is missing or malformed."""
     if text is None:
--- a/turmericreach/sharing/limits.py
+++ b/turmericreach/sharing/limits.py
@@ -1,8 +1,13 @@
 """Limits that targets name for the requests of all processes together."""
 
+import re
+
 import attrs
 
-__all__ = ["Limit", "LimitTable"]
+__all__ = ["Limit", "LimitTable", "parse_rate"]
+
+# Excludes the signs, exponents and names such as "nan" that `float` accepts.
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 # Bound on the targets remembered; those confirmed last are kept.
 MAX_TARGETS = 10_000
@@ -123,3 +128,10 @@
     def remove(self, target: str) -> None:
         """Remove a target that has left or restarted."""
         self.limits.pop(target, None)
+
+
+def parse_rate(text: str | None) -> float | None:
+    """Return a rate in a header field, or None if it is missing, malformed or negative."""
+    if text is None or not DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
--- a/turmericreach/sharing/rates.py
+++ b/turmericreach/sharing/rates.py
@@ -122,6 +122,10 @@
         self.rng = rng
         self.buckets: dict[str, RateBucket] = {}
 
+    def wait_s(self, target: str, per_s: float, priority: int, now: float) -> float:
+        """Return the seconds until a request of a priority would get a permit for a target."""
+        return self.bucket(target, per_s, now).earliest_at(priority, now) - now
+
     def request(
         self, limits: Mapping[str, float], priority: int, max_delay_s: float, now: float
     ) -> Permit | Denial:
--- a/turmericreach/targets/openai.py
+++ b/turmericreach/targets/openai.py
@@ -9,8 +9,10 @@
 import aiohttp
 
 from turmericreach.httpclient import (
+    LimitObserver,
     ResponseTooLarge,
     check_length_known,
+    observe_limit,
     read_response,
     retry_after_s,
 )
@@ -64,6 +66,8 @@
     ----------
     cancellations : set of asyncio.Task
         Calls in progress that cancel completions.
+    on_limit : callable or None
+        Receives the limit that the response to each completion names.
     """
 
     def __init__(self, url: str, session: aiohttp.ClientSession, model: str = ""):
@@ -72,6 +76,7 @@
         self.model = model
         # Keeps the tasks alive, since the event loop holds only weak references to them.
         self.cancellations: set[asyncio.Task] = set()
+        self.on_limit: LimitObserver | None = None
 
     async def generate(self, request: GenerationRequest) -> Generation:
         """Generate a completion; cancelling the call cancels the completion at the engine."""
@@ -100,10 +105,12 @@
         EngineError
             If the engine refuses the request or the stream is interrupted or malformed.
         """
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with self.session.post(
                 self.url + path, json=body, allow_redirects=False
             ) as response:
+                observe_limit(response, sent_at, self.on_limit)
                 await check_generation_status(response)
                 check_length_known(response)
                 return await collect_generation(response.content)
--- a/turmericreach/targets/service.py
+++ b/turmericreach/targets/service.py
@@ -8,8 +8,10 @@
 import yarl
 
 from turmericreach.httpclient import (
+    LimitObserver,
     ResponseTooLarge,
     check_length_known,
+    observe_limit,
     read_response,
     retry_after_s,
 )
@@ -103,6 +105,11 @@
         Session that opens a connection for each request, for non-idempotent requests. A target may
         close a reused connection while a request is being sent, and it would then be unknown
         whether the request ran.
+
+    Attributes
+    ----------
+    on_limit : callable or None
+        Receives the limit that each response names.
     """
 
     def __init__(
@@ -111,6 +118,7 @@
         self.url = url.rstrip("/")
         self.session = session
         self.fresh_session = fresh_session
+        self.on_limit: LimitObserver | None = None
 
     async def run(self, call: ServiceCall, writer: ResponseWriter | None) -> tuple[Outcome, bool]:
         """Send a request and return its outcome.
@@ -130,6 +138,7 @@
             Whether the response was written to `writer`.
         """
         session = self.session if call.idempotent else self.fresh_session
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with session.request(
                 call.method,
@@ -140,6 +149,7 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=call.timeout_s, sock_connect=2.0),
             ) as response:
+                observe_limit(response, sent_at, self.on_limit)
                 return await self.handle_response(call, response, writer)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return failed_outcome(Verdict.NOT_RUN, ErrorCode.TARGET_UNREACHABLE, error), False
--- a/turmericreach/telemetry/events.py
+++ b/turmericreach/telemetry/events.py
@@ -335,6 +335,12 @@
     "Add targets if this is frequent.",
     extra=("request_id", "priority"),
 )
+TARGET_LIMIT_CHANGED = Event(
+    "TR1904",
+    "target_limit_changed",
+    Level.INFO,
+    "{target} accepts {limit} requests a second (None: without a limit)",
+)
 ROLLOUTS_REDUCED = Event(
     "TR1902",
     "rollouts_reduced",
