Show repeated requests and targets that ended in the logs

The ids of a request differ at each arrival, so no log could tell that it comes again, nor a target that ended from a lost connection. Each attempt now carries a digest of the request (method, host, path, credentials, body). After a lost connection a new one is opened: if the host refuses it, the target has ended, which is logged with the digest (TR2311) and counted. Neither changes a decision yet.

--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -24,7 +24,17 @@
 
 
 class ConnectFailed(TurmericreachError):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether the host refused the connection, since no process listens there.
+    """
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        self.refused = refused
 
 
 class ResponseIncomplete(TurmericreachError):
@@ -413,5 +423,6 @@
                 lambda: ClientConnection(address, limits, buffers), host, int(port)
             )
     except (OSError, TimeoutError, ValueError) as error:
-        raise ConnectFailed(f"{address}: {error or 'timed out'}") from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise ConnectFailed(f"{address}: {error or 'timed out'}", refused) from error
     return connection
--- a/turmericreach/node/caller_api.py
+++ b/turmericreach/node/caller_api.py
@@ -12,6 +12,7 @@
 from turmericreach.platform import lots as lot_wire
 from turmericreach.platform.targets import attempt_head, retry_after_fields
 from turmericreach.services import RouteKind
+from turmericreach.sharing import request_fingerprint
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -100,6 +101,13 @@
             route=route,
             attempt=attempt,
             deadline=request.received_at + min(timeout_s, route.timeout_s),
+            fingerprint=request_fingerprint(
+                request.method,
+                request.headers.get("host", ""),
+                request.target,
+                attempt.caller,
+                request.body,
+            ),
             configuration_version=configuration.version,
             configuration_age_s=self.configuration_age_s(),
         )
--- a/turmericreach/node/exchange.py
+++ b/turmericreach/node/exchange.py
@@ -27,6 +27,8 @@
         Attempt id, timeout and last event id from the headers of the request.
     deadline : float
         Loop time after which a response is of no use to the caller.
+    fingerprint : str
+        Digest that is the same each time the request comes again.
     configuration_version : int
         Version of the configuration that selected the route.
     configuration_age_s : float
@@ -48,6 +50,7 @@
     route: Route
     attempt: wire.AttemptHead
     deadline: float
+    fingerprint: str
     configuration_version: int
     configuration_age_s: float
     tried_targets: set[str] = attrs.field(factory=set)
@@ -114,6 +117,7 @@
             load_age_s=load_age_s,
             limit_per_s=limit_per_s,
             configuration=self.configuration_version,
+            fingerprint=self.fingerprint,
         )
 
     def log_end(self, status: int, reason: str) -> None:
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -13,6 +13,7 @@
     ConnectionPool,
     ResponseHead,
 )
+from turmericreach.node.crash_probe import CrashProbe
 from turmericreach.node.exchange import Exchange
 from turmericreach.placement import PlacementPolicy, ReturnSchedule, service_rate_per_s
 from turmericreach.platform import targets as wire
@@ -44,15 +45,19 @@
         Result as text; its first two words become a metric label.
     failed : bool
         Whether the target could not be reached or its response was incomplete.
+    connection_lost : bool
+        Whether the response was incomplete.
     """
 
     connection: ClientConnection | None = None
     outcome: str = "cancelled"
     failed: bool = False
+    connection_lost: bool = False
 
     def record_failure(self, error: Exception) -> str:
         """Record a failed connection or an incomplete response; return the outcome."""
-        failure = "not connected" if isinstance(error, ConnectFailed) else "no whole answer"
+        self.connection_lost = not isinstance(error, ConnectFailed)
+        failure = "no whole answer" if self.connection_lost else "not connected"
         self.outcome = f"{failure}: {error}"
         self.failed = True
         return self.outcome
@@ -90,6 +95,7 @@
         self.data_centre = data_centre
         self.random = random.Random()
         self.returns = ReturnSchedule()
+        self.crash_probe = CrashProbe(pool, lambda fingerprint, target: None)
 
     def busy_retry_s(self, exchange: Exchange) -> float:
         """Return the seconds after which a request that no target accepted may come again."""
@@ -197,6 +203,8 @@
             if attempt.connection is not None:
                 self.pool.release(attempt.connection)
             exchange.log_attempt(target, attempt.outcome, began, in_flight, limit_per_s)
+            if attempt.connection_lost:
+                self.crash_probe.start(exchange.fingerprint, exchange.attempt.id, target)
             if attempt.failed:
                 self.directory.record_failure(target, attempt.outcome, SUSPECT_S, loop.time())
 
--- a/turmericreach/platform/names.py
+++ b/turmericreach/platform/names.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "ATTEMPT_ID",
+    "AUTHORIZATION",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "ITEMS_PATH",
@@ -28,6 +29,7 @@
 SETTINGS_VARIABLE = "TURMERICREACH_NODE_FILE"
 
 ATTEMPT_ID = "X-Attempt-Id"
+AUTHORIZATION = "Authorization"
 DEADLINE_MS = "X-Deadline-Ms"
 EXPECT_INSTANCE = "X-Expect-Instance"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -7,6 +7,7 @@
 from turmericreach.platform.decoding import Fields, decode_json
 from turmericreach.platform.names import (
     ATTEMPT_ID,
+    AUTHORIZATION,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     LAST_EVENT_ID,
@@ -58,11 +59,14 @@
         How long the caller waits for the response, or None if it sent no deadline.
     last_event_id : int or None
         Last event of the stream that the caller has received, or None for a new stream.
+    caller : str
+        What identifies the caller, empty if nothing does.
     """
 
     id: str
     timeout_s: float | None
     last_event_id: int | None
+    caller: str = ""
 
 
 @attrs.frozen
@@ -128,6 +132,7 @@
         id=headers.get(ATTEMPT_ID, ""),
         timeout_s=None if deadline_ms is None else deadline_ms / 1000,
         last_event_id=int(last) if last is not None and last.isdigit() else None,
+        caller=headers.get(AUTHORIZATION, ""),
     )
 
 
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -194,6 +194,14 @@
     Level.INFO,
     "what {peer} knows of targets was not read, the next ping tries again: {reason}",
 )
+TARGET_CRASHED = Event(
+    "TR2311",
+    "target_crashed",
+    Level.WARNING,
+    "{target} of {service} ended while it served request {request}",
+    "Check the target's log, and the request if it ends several targets.",
+    extra=("fingerprint",),
+)
 
 # Requests
 
@@ -202,7 +210,7 @@
     "request_tried",
     Level.INFO,
     "attempt of request {request} at {target}: {outcome} after {ms:.1f} ms",
-    extra=("attempt", "in_flight", "load_age_s", "limit_per_s", "configuration"),
+    extra=("attempt", "in_flight", "load_age_s", "limit_per_s", "configuration", "fingerprint"),
 )
 REQUEST_ENDED = Event(
     "TR2402",
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -58,6 +58,12 @@
 SUSPICIONS = Metric(
     "node_targets_suspected", COUNTER, "targets", "Times that a target was suspected."
 )
+CRASHES = Metric(
+    "node_targets_crashed",
+    COUNTER,
+    "targets",
+    "Times that a target ended while it served a request of this process.",
+)
 LIMITS_NAMED = Metric(
     "node_target_limits", COUNTER, "limits", "Times that a target named a new limit."
 )
@@ -183,6 +189,11 @@
     metrics.count(SUSPICIONS)
 
 
+def count_crash(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count a target that ended while it served a request."""
+    metrics.count(CRASHES)
+
+
 def count_limit(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
     """Count a limit that a target has named."""
     metrics.count(LIMITS_NAMED)
@@ -209,6 +220,7 @@
     events.RESULTS_LISTED.code: count_results,
     events.ORDER_SENT.code: count_order,
     events.TARGET_SUSPECTED.code: count_suspicion,
+    events.TARGET_CRASHED.code: count_crash,
     events.TARGET_LIMIT_NAMED.code: count_limit,
     events.DEPENDENCY_LOST.code: count_dependency_loss,
 }
