Add a failing test of a request that ends each target that runs it

Sent to three gateways in turn, it reaches targets 9 times later than 3 s after it has ended the third one, where 3 are allowed, as a request that may be repeated and as one that may not.

--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -46,6 +46,9 @@
         Number of next orders that are applied only after `LATE_ORDER_S` and get no response.
     limit_per_s : float or None
         Limit that each response names; nothing enforces it.
+    crash_body : bytes or None
+        A request with this body ends the target once it runs: all its connections are aborted and
+        its port is closed.
     """
 
     lose_answers: int = 0
@@ -61,6 +64,7 @@
     mute_every: int = 0
     late_orders: int = 0
     limit_per_s: float | None = None
+    crash_body: bytes | None = None
 
 
 class TargetStandIn:
@@ -106,6 +110,8 @@
         Streams requested so far.
     dropped : int
         Requests that ended without a whole response.
+    crashes : int
+        Number of times that it was ended by a request.
     on_change : callable
         Called when an order has changed a version.
     address : str
@@ -139,6 +145,7 @@
         self.active = 0
         self.stream_count = 0
         self.dropped = 0
+        self.crashes = 0
         self.on_change: Callable[[], None] = lambda: None
         self.server = HttpServer(self.handle)
         self.address = ""
@@ -153,6 +160,17 @@
         """Stop the server and close its connections."""
         await self.server.stop()
 
+    async def crash(self) -> None:
+        """End as a killed process does: close the port and abort all connections."""
+        self.crashes += 1
+        await self.server.stop()
+
+    async def restart(self, target_id: str) -> None:
+        """Listen again on the same port, under a new id."""
+        self.id = target_id
+        self.server = HttpServer(self.handle)
+        await self.server.start(self.address)
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the entry of the target in service discovery."""
         return {
@@ -211,6 +229,9 @@
             return
         if self.work_s and await disconnects_within(request, self.work_s):
             return
+        if self.faults.crash_body is not None and request.body == self.faults.crash_body:
+            await self.crash()
+            return
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             responder.abort()
