Reject requests under which three targets have ended, at all gateways

Cause: the count of attempts belongs to one arrival at one process; the same request under another id, at another gateway or in another attempt of its caller, starts with a new one.

Fix: a request is recognised by a digest (method, host, path, credentials, body). A lost connection counts as evidence only if the host then refuses a new one, so cuts, resets and lost responses do not count. Evidence is shared like the limits, with the pings to the hub, also while the store is away; three ended targets reject the request with 502, without Retry-After. A request that a target has completed in the last minute is never suspected, and a completion clears the evidence everywhere, so requests that were only beside it are kept. What is rejected is kept in the store, one small object each, for a start of all gateways. Items and scorer calls are not affected: items are still owed.

Ruled out: hypothesis 3, the hedge starts 120 ms after the first attempt, targets end after 50 ms.

--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tests.builders.fleet_world import eventually
+
 CONTACT_S = 3.0
 RESTART_S = 0.3
 # The bound of the rule: arrivals at targets later than 3 s after the third target has ended.
@@ -113,3 +115,16 @@
     for number, gateway in enumerate(gateways):
         status, _ = await call(world, gateway, f"late-{number}", b"good")
         assert status == 200
+
+
+async def test_rejection_lasts_when_all_gateways_end_together(world, gateways):
+    """Guards against three more ended targets after each restart of all gateways."""
+    for gateway in gateways:
+        for target in ("a", "b", "c"):
+            gateway.shared.crashes.record_crash("f" * 32, target, asyncio.get_running_loop().time())
+    await eventually(lambda: "crashing." + "f" * 32 in world.store.names("turmericreach"))
+    for gateway in gateways:
+        await world.kill_gateway(gateway.settings.host)
+    started = await world.add_gateway("g9")
+    now = asyncio.get_running_loop().time()
+    await eventually(lambda: started.shared.crashes.is_rejected("f" * 32, now), 2.0)
--- a/turmericreach/coordination/messages.py
+++ b/turmericreach/coordination/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ChangePage",
+    "CrashingRequest",
     "HandOver",
     "LoadNotice",
     "LotNotice",
@@ -42,9 +43,9 @@
     order_age_s : float
         Seconds since the last order of the process to a target.
     shared_revision : int
-        Revision of the process's table of shared facts.
+        Revision of the tables that the process shares with others.
     observed_revision : int
-        Revision of the newest of them that the process has observed itself.
+        Revision of the newest fact in them that the process has observed itself.
     """
 
     host: str
@@ -151,20 +152,42 @@
     confirmed_s: float
 
 
+@attrs.frozen
+class CrashingRequest:
+    """What the sender knows of a request under which targets have ended.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of the request.
+    targets : list of str
+        Runs of targets that ended while they served it; none if a target has completed it since.
+    last_s : float
+        Seconds since the last one ended.
+    cleared_s : float
+        Seconds since a target has completed the request, 1e9 if none has.
+    """
+
+    fingerprint: str
+    targets: list[str]
+    last_s: float
+    cleared_s: float
+
+
 @attrs.frozen
 class SharedState:
-    """What several processes share about targets.
+    """What several processes share about targets and requests.
 
     Attributes
     ----------
-    revision : int
-        Revision of the sender's table; the next call asks for what comes after it.
     limits : list of TargetLimit
         Limits that became known after the requested revision.
+    requests : list of CrashingRequest
+        Requests of which something became known after that revision.
     """
 
-    revision: int
     limits: list[TargetLimit] = attrs.field(factory=list)
+    requests: list[CrashingRequest] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/turmericreach/coordination/names.py
+++ b/turmericreach/coordination/names.py
@@ -1,6 +1,6 @@
 """Kinds and names of turmericreach's own objects in the metadata store."""
 
-__all__ = ["DIVISION_NAME", "DUTY_NAME", "HOST_PREFIX", "LOTS_KIND", "OWN_KIND"]
+__all__ = ["CRASHING_PREFIX", "DIVISION_NAME", "DUTY_NAME", "HOST_PREFIX", "LOTS_KIND", "OWN_KIND"]
 
 # Small objects that every process follows share one kind, so that a single watch covers them.
 OWN_KIND = "turmericreach"
@@ -12,3 +12,5 @@
 DUTY_NAME = "duty"
 # Name of the object that assigns a model to each engine.
 DIVISION_NAME = "division"
+# Prefix of the names of the objects of requests that end targets, followed by the fingerprint.
+CRASHING_PREFIX = "crashing."
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -19,6 +19,7 @@
 from turmericreach.metadata import Conflict, KindMirror, MetadataClient, MetadataError, StoredObject
 from turmericreach.placement.ownership import choose_owner
 from turmericreach.services import TargetDirectory
+from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -110,6 +111,8 @@
         Client of the metadata store.
     limits : ResponseLimits, optional
         Limits on the size of responses of other processes.
+    shared : SharedTables, optional
+        Tables whose revisions are reported to other processes.
 
     Attributes
     ----------
@@ -146,12 +149,14 @@
         cores: float,
         client: MetadataClient,
         limits: ResponseLimits | None = None,
+        shared: SharedTables | None = None,
     ):
         self.host = host
         self.address = address
         self.incarnation = incarnation
         self.cores = cores
         self.client = client
+        self.shared = shared or SharedTables()
         self.pool = ConnectionPool(CONNECT_TIMEOUT_S, max_idle=8, limits=limits)
         self.peers: dict[str, Peer] = {}
         self.leaving = False
@@ -216,10 +221,8 @@
             changes={kind: mirror.newest_revision for kind, mirror in self.mirrors.items()},
             event_s=self.measured_event_s(),
             order_age_s=min(asyncio.get_running_loop().time() - self.last_order_at, 1e9),
-            shared_revision=0 if self.directory is None else self.directory.limits.revision,
-            observed_revision=(
-                0 if self.directory is None else self.directory.limits.observed_revision()
-            ),
+            shared_revision=self.shared.revision(),
+            observed_revision=self.shared.observed_revision(),
         )
 
     def last_possible_order_at(self, host: str, now: float) -> float:
--- a/turmericreach/coordination/permits.py
+++ b/turmericreach/coordination/permits.py
@@ -4,20 +4,18 @@
 import random
 from collections.abc import Sequence
 
-import attrs
 import msgspec
 
-from turmericreach.coordination.messages import PermitReply, PermitRequest, SharedState, TargetLimit
+from turmericreach.coordination.messages import PermitReply, PermitRequest, TargetLimit
 from turmericreach.coordination.peers import Peer, PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
 from turmericreach.sharing import Denial, LimitTable, Permit, RateArbiter
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-__all__ = ["PERMIT_PATH", "SHARED_STATE_PATH", "SharedStateReader", "TargetPermits"]
+__all__ = ["PERMIT_PATH", "TargetPermits"]
 
 PERMIT_PATH = "/peer/permit"
-SHARED_STATE_PATH = "/peer/shared"
 # An arbiter that takes longer is treated as unreachable until it responds again.
 PERMIT_TIMEOUT_S = 0.2
 # Pause before an arbiter that responded with an error is asked again.
@@ -213,69 +211,7 @@
                 limit.target, limit.per_s, now - limit.since_s, now - limit.confirmed_s
             )
 
-    def state_after(self, revision: int, observed_only: bool) -> SharedState:
-        """Return what became known after a revision."""
+    def state_after(self, revision: int, observed_only: bool) -> list[TargetLimit]:
+        """Return the limits that became known after a revision of the shared tables."""
         now = asyncio.get_running_loop().time()
-        found = self.limits.changes_after(revision, observed_only)
-        return SharedState(self.limits.revision, self.describe(list(found), now))
-
-
-@attrs.frozen
-class ReadPosition:
-    """How far the shared state of a peer has been read.
-
-    Attributes
-    ----------
-    incarnation : str
-        Run of the peer's process.
-    observed_only : bool
-        Whether only what the peer itself observed was read.
-    revision : int
-        Revision of the peer's table up to which it was read.
-    """
-
-    incarnation: str
-    observed_only: bool
-    revision: int
-
-
-class SharedStateReader:
-    """Reads what peers know of limits: all of it from the hub; as the hub, what each one observed.
-
-    The pings between the hub and each process carry revisions, so an unchanged state costs no call.
-
-    Attributes
-    ----------
-    positions : dict of str to ReadPosition
-        How far each peer's state has been read, by host.
-    """
-
-    def __init__(self, peers: PeerTable, permits: TargetPermits):
-        self.peers = peers
-        self.permits = permits
-        self.positions: dict[str, ReadPosition] = {}
-
-    async def update(self, peer: Peer) -> None:
-        """Read what a peer has learned since the last time, if it concerns this process."""
-        is_hub = self.peers.hub == self.peers.host
-        if not is_hub and peer.host != self.peers.hub:
-            return
-        status = peer.status
-        revision = status.observed_revision if is_hub else status.shared_revision
-        position = self.positions.get(peer.host)
-        after = 0
-        if position is not None and position.incarnation == status.incarnation:
-            after = position.revision if position.observed_only == is_hub else 0
-        if revision <= after:
-            return
-        path = f"{SHARED_STATE_PATH}?after={after}&observed={int(is_hub)}"
-        try:
-            state = msgspec.json.decode(
-                await self.peers.call(peer, "GET", path, b""), type=SharedState
-            )
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError) as error:
-            reason = f"{type(error).__name__} {error}".strip()
-            log_event(events.SHARED_STATE_UNREAD, peer=peer.host, reason=reason)
-            return
-        self.permits.merge(state.limits)
-        self.positions[peer.host] = ReadPosition(status.incarnation, is_hub, revision)
+        return self.describe(list(self.limits.changes_after(revision, observed_only)), now)
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -12,7 +12,7 @@
 from turmericreach.placement import PlacementPolicy, hedge_delay_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import RouteKind, Target, TargetDirectory
-from turmericreach.sharing import PermitSource
+from turmericreach.sharing import CrashTable, PermitSource
 
 __all__ = ["Forwarder"]
 
@@ -56,6 +56,8 @@
         Selects among targets.
     permits : PermitSource
         Permits for targets that have named a limit.
+    crashes : CrashTable
+        Requests under which targets have ended.
     """
 
     def __init__(
@@ -65,8 +67,10 @@
         data_centre: str,
         policy: PlacementPolicy,
         permits: PermitSource,
+        crashes: CrashTable,
     ):
-        self.attempts = TargetAttempts(directory, pool, data_centre, policy, permits)
+        self.crashes = crashes
+        self.attempts = TargetAttempts(directory, pool, data_centre, policy, permits, crashes)
         self.streams = StreamForwarder(self.attempts)
 
     async def forward(self, exchange: Exchange) -> None:
@@ -75,6 +79,11 @@
         The work is cancelled if the caller disconnects.
         """
         loop = asyncio.get_running_loop()
+        if self.crashes.is_rejected(exchange.fingerprint, loop.time()):
+            # 502 promises nothing, since earlier arrivals of the request have run. Without a
+            # Retry-After field it does not ask for another one.
+            exchange.reject(502, "targets have ended under this request")
+            return
         is_stream = exchange.route.kind is RouteKind.STREAMING
         serve = self.streams.serve if is_stream else self.serve
         work = loop.create_task(serve(exchange))
@@ -175,6 +184,8 @@
         """Return whether the request may not be run again."""
         if exchange.possible_runs >= exchange.route.max_attempts:
             return True
+        if self.attempts.is_rejected(exchange):
+            return True
         return exchange.possible_runs > 0 and not exchange.may_repeat()
 
     def may_retry_later(self, exchange: Exchange) -> bool:
@@ -216,7 +227,10 @@
         with self.attempts.track(exchange, target) as attempt:
             try:
                 head = await self.attempts.send(exchange, target, attempt)
-                return AttemptResult(head, await attempt.connection.read_body())
+                body = await attempt.connection.read_body()
+                if not wire.read_response_head(head.status, head.headers).not_run:
+                    self.attempts.record_completion(exchange)
+                return AttemptResult(head, body)
             except (ConnectFailed, ResponseIncomplete) as error:
                 return AttemptResult(None, b"", attempt.record_failure(error))
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -12,11 +12,19 @@
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.batches.scoring import ScorerCalls
+from turmericreach.coordination.crashing_requests import CrashingRequests
 from turmericreach.coordination.duty import CoordinatorDuty
-from turmericreach.coordination.names import DIVISION_NAME, DUTY_NAME, HOST_PREFIX, OWN_KIND
+from turmericreach.coordination.names import (
+    CRASHING_PREFIX,
+    DIVISION_NAME,
+    DUTY_NAME,
+    HOST_PREFIX,
+    OWN_KIND,
+)
 from turmericreach.coordination.peers import PeerTable
-from turmericreach.coordination.permits import SharedStateReader, TargetPermits
+from turmericreach.coordination.permits import TargetPermits
 from turmericreach.coordination.relay import RelaySource
+from turmericreach.coordination.shared_state import SharedStateExchange
 from turmericreach.http1 import (
     BUFFER_MEMORY_SHARE,
     ConnectionPool,
@@ -43,6 +51,7 @@
 from turmericreach.platform import store as store_wire
 from turmericreach.platform.names import READY_PATH
 from turmericreach.services import Target, TargetDirectory
+from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 from turmericreach.versions.converger import VersionConverger
@@ -89,7 +98,8 @@
         limits = ResponseLimits().within_memory(settings.memory_bytes)
         self.client = MetadataClient(store.address, store.writes_per_s, store.reads_per_s, limits)
         self.pool = ConnectionPool(CONNECT_TIMEOUT_S, limits=limits)
-        self.directory = TargetDirectory()
+        self.shared = SharedTables()
+        self.directory = TargetDirectory(self.shared.limits)
         self.configuration = ConfigurationHolder()
         self.peers = PeerTable(
             settings.host,
@@ -98,10 +108,12 @@
             settings.cores,
             self.client,
             limits,
+            self.shared,
         )
         self.placement = POLICIES[settings.placement]()
         self.permits = TargetPermits(self.directory.limits, self.peers)
-        self.shared_state = SharedStateReader(self.peers, self.permits)
+        self.crashing_requests = CrashingRequests(self.shared.crashes, self.peers, self.client)
+        self.shared_state = SharedStateExchange(self.peers, self.permits, self.crashing_requests)
         self.scheduler = ItemScheduler(self.directory, self.placement, self.permits)
         self.registry = self.make_registry()
         self.handover = LotHandover(self.registry, self.peers)
@@ -181,7 +193,12 @@
             self.settings.store.value_bytes,
         )
         forwarder = Forwarder(
-            self.directory, self.pool, self.settings.data_centre, self.placement, self.permits
+            self.directory,
+            self.pool,
+            self.settings.data_centre,
+            self.placement,
+            self.permits,
+            self.shared.crashes,
         )
         caller_api = CallerApi(self.configuration, self.client, forwarder, self.lot_api)
         peer_api = PeerApi(
@@ -192,6 +209,7 @@
             self.converger,
             caller_api,
             self.permits,
+            self.shared_state,
         )
         self.peer_server = HttpServer(peer_api.handle, self.within_memory(PEER_LIMITS))
         return HttpServer(caller_api.handle)
@@ -210,6 +228,8 @@
         """Dispatch a changed object of turmericreach's own kind to its component."""
         if object.name.startswith(HOST_PREFIX):
             self.peers.object_changed(object)
+        elif object.name.startswith(CRASHING_PREFIX):
+            self.crashing_requests.object_changed(object)
         elif object.name == DUTY_NAME:
             self.duty.object_changed(object)
         elif object.name == DIVISION_NAME:
@@ -221,6 +241,8 @@
         """Dispatch the removal of an object to its component."""
         if object.name.startswith(HOST_PREFIX):
             self.peers.object_removed(object)
+        elif object.name.startswith(CRASHING_PREFIX):
+            self.crashing_requests.object_removed(object)
 
     def target_removed(self, target: Target) -> None:
         """Drop the connections to a target that was removed, and its permits."""
@@ -305,6 +327,7 @@
         self.tasks.start("items", self.scheduler.run)
         self.tasks.start("hand-over", self.handover.run)
         self.tasks.start("coordinator", self.coordinator.run)
+        self.tasks.start("crashing requests", self.crashing_requests.run)
         self.tasks.start("settings", self.settings_watch.run)
 
     async def join_peers(self) -> None:
--- a/turmericreach/node/metrics_page.py
+++ b/turmericreach/node/metrics_page.py
@@ -12,6 +12,7 @@
 from turmericreach.metadata import MetadataClient
 from turmericreach.node.configuration import ConfigurationHolder
 from turmericreach.services import TargetDirectory
+from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import node_metrics as metrics
 from turmericreach.telemetry.log import EVENT_LOG
 from turmericreach.telemetry.served_metrics import CONTENT_TYPE, ServedMetrics
@@ -34,6 +35,7 @@
     peers: PeerTable
     duty: CoordinatorDuty
     permits: TargetPermits
+    shared: SharedTables
 
 
 class MetricsPage:
@@ -87,6 +89,8 @@
         page.gauge(metrics.COORDINATES, int(sources.duty.token is not None))
         for result, number in sources.permits.counts.items():
             page.gauge(metrics.PERMITS, number, result=result)
+        barred = sources.shared.crashes.rejected(asyncio.get_running_loop().time())
+        page.gauge(metrics.BARRED_REQUESTS, len(barred))
         page.gauge(metrics.LOG_DROPPED, EVENT_LOG.count_dropped_lines())
         page.gauge(metrics.LOOP_LAG, round(max(self.lags, default=0.0) * 1000, 1))
         self.set_target_gauges()
--- a/turmericreach/node/peer_api.py
+++ b/turmericreach/node/peer_api.py
@@ -8,8 +8,9 @@
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.coordination.messages import HandOver, LoadNotice, LotNotice, PermitRequest
 from turmericreach.coordination.peers import PeerTable
-from turmericreach.coordination.permits import PERMIT_PATH, SHARED_STATE_PATH, TargetPermits
+from turmericreach.coordination.permits import PERMIT_PATH, TargetPermits
 from turmericreach.coordination.relay import serve_watch
+from turmericreach.coordination.shared_state import SHARED_STATE_PATH, SharedStateExchange
 from turmericreach.http1 import Request, Responder, query_value
 from turmericreach.metadata import HistoryGone, KindMirror
 from turmericreach.node.caller_api import CallerApi
@@ -33,6 +34,7 @@
         converger: VersionConverger,
         caller_api: CallerApi,
         permits: TargetPermits,
+        shared_state: SharedStateExchange,
     ):
         self.peers = peers
         self.mirrors = mirrors
@@ -41,6 +43,7 @@
         self.converger = converger
         self.caller_api = caller_api
         self.permits = permits
+        self.shared_state = shared_state
         self.handlers = {
             ("GET", "/peer/status"): self.send_status,
             ("GET", "/peer/watch"): self.send_changes,
@@ -122,13 +125,13 @@
         send_message(responder, reply)
 
     async def send_shared_state(self, request: Request, responder: Responder) -> None:
-        """Send what this process knows of targets' limits after a revision of its table."""
+        """Send what this process has learned of targets and requests after a revision."""
         after = query_value(request.query, "after") or ""
         if not after.isdigit():
             responder.send(400)
             return
         observed_only = query_value(request.query, "observed") == "1"
-        send_message(responder, self.permits.state_after(int(after), observed_only))
+        send_message(responder, self.shared_state.state_after(int(after), observed_only))
 
 
 def send_message(responder: Responder, message: Any) -> None:
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -27,6 +27,8 @@
         """Serve a stream until it is complete or can no longer be resumed."""
         last_event_id = exchange.attempt.last_event_id
         while True:
+            if self.attempts.is_rejected(exchange):
+                break
             target = await self.attempts.admit(exchange)
             if target is None:
                 if exchange.responder.started or not self.may_retry_later(exchange):
@@ -119,5 +121,6 @@
             attempt.outcome = "ended inside an event"
             return False, exchange.forwarded_event_id
         exchange.responder.finish()
+        self.attempts.record_completion(exchange)
         exchange.log_end(head.status, "streamed by a target")
         return True, exchange.forwarded_event_id
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -18,7 +18,7 @@
 from turmericreach.placement import PlacementPolicy, ReturnSchedule, service_rate_per_s
 from turmericreach.platform import targets as wire
 from turmericreach.services import Target, TargetDirectory
-from turmericreach.sharing import Denial, PermitSource
+from turmericreach.sharing import CrashTable, Denial, PermitSource
 
 __all__ = ["SUSPECT_S", "TargetAttempt", "TargetAttempts"]
 
@@ -78,6 +78,8 @@
         Selects among targets.
     permits : PermitSource
         Permits for targets that have named a limit.
+    crashes : CrashTable
+        Requests under which targets have ended.
     """
 
     def __init__(
@@ -87,15 +89,32 @@
         data_centre: str,
         policy: PlacementPolicy,
         permits: PermitSource,
+        crashes: CrashTable,
     ):
         self.directory = directory
+        self.crashes = crashes
         self.permits = permits
         self.policy = policy
         self.pool = pool
         self.data_centre = data_centre
         self.random = random.Random()
         self.returns = ReturnSchedule()
-        self.crash_probe = CrashProbe(pool, lambda fingerprint, target: None)
+        self.crash_probe = CrashProbe(pool, self.record_crash)
+
+    def record_crash(self, fingerprint: str, target: Target) -> None:
+        """Record that a target ended while it served a request."""
+        run = f"{target.id}/{target.record.started_ms}"
+        self.crashes.record_crash(fingerprint, run, asyncio.get_running_loop().time())
+
+    def record_completion(self, exchange: Exchange) -> None:
+        """Record that a target has run a request and sent its whole response."""
+        now = asyncio.get_running_loop().time()
+        self.crashes.record_completion(exchange.fingerprint, now)
+
+    def is_rejected(self, exchange: Exchange) -> bool:
+        """Return whether a request has ended too many targets to be sent to another one."""
+        now = asyncio.get_running_loop().time()
+        return self.crashes.is_rejected(exchange.fingerprint, now)
 
     def busy_retry_s(self, exchange: Exchange) -> float:
         """Return the seconds after which a request that no target accepted may come again."""
--- a/turmericreach/services/directory.py
+++ b/turmericreach/services/directory.py
@@ -45,9 +45,9 @@
         Called with each target that has been removed.
     """
 
-    def __init__(self):
+    def __init__(self, limits: LimitTable | None = None):
         self.targets: dict[str, Target] = {}
-        self.limits = LimitTable()
+        self.limits = limits or LimitTable()
         self.on_change: Callable[[], None] | None = None
         self.on_removed: Callable[[Target], None] | None = None
 
--- a/turmericreach/sharing/limits.py
+++ b/turmericreach/sharing/limits.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmericreach.sharing.revisions import RevisionCounter
+
 __all__ = ["Limit", "LimitTable", "parse_rate"]
 
 # Excludes the signs, exponents and names such as "nan" that `float` accepts.
@@ -26,7 +28,7 @@
     confirmed_at : float
         Time in seconds of the last response that said so.
     revision : int
-        Revision of the table at which this became known.
+        Revision of the shared tables at which this became known.
     observed : bool
         Whether a response to this process said so, not only another process.
     """
@@ -47,13 +49,13 @@
     ----------
     limits : dict of str to Limit
         Limits by target id; targets that never named one are missing.
-    revision : int
-        Number of changes so far.
+    revisions : RevisionCounter
+        Numbers the changes, together with those of the other shared tables of the process.
     """
 
-    def __init__(self):
+    def __init__(self, revisions: RevisionCounter | None = None):
         self.limits: dict[str, Limit] = {}
-        self.revision = 0
+        self.revisions = revisions or RevisionCounter()
 
     def per_s(self, target: str) -> float | None:
         """Return the requests a second that a target accepts, None without a limit."""
@@ -107,8 +109,8 @@
         self, target: str, per_s: float | None, since: float, confirmed_at: float, observed: bool
     ) -> None:
         """Replace what is known of a target."""
-        self.revision += 1
-        self.limits[target] = Limit(per_s, since, confirmed_at, self.revision, observed)
+        revision = self.revisions.advance()
+        self.limits[target] = Limit(per_s, since, confirmed_at, revision, observed)
         if len(self.limits) > MAX_TARGETS:
             oldest = min(self.limits, key=lambda name: self.limits[name].confirmed_at)
             del self.limits[oldest]
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -228,6 +228,14 @@
     "Check the attempts of the request.",
     extra=("route", "attempts", "time_left_ms", "configuration", "configuration_age_s"),
 )
+REQUEST_BARRED = Event(
+    "TR2404",
+    "request_barred",
+    Level.WARNING,
+    "requests with digest {fingerprint} are rejected: targets ended under them",
+    "Check the request with its caller, and the logs of the targets.",
+    extra=("targets",),
+)
 
 # Lots
 
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -97,6 +97,12 @@
     "share are also counted by their result.",
     ("result",),
 )
+BARRED_REQUESTS = Metric(
+    "node_barred_requests",
+    GAUGE,
+    "requests",
+    "Requests that are rejected since targets have ended under them.",
+)
 LOG_DROPPED = Metric("node_log_dropped", GAUGE, "lines", "Log lines dropped.")
 LOOP_LAG = Metric("node_loop_lag", GAUGE, "ms", "Longest recent delay of the event loop.")
 
