Reject requests under which three targets have ended on the own interface

The agent beside a target sees whether the target ended under a request (connection lost, then refused), and reports it with the target's status; gateways add the reports of all agents up and reject the request with target_failed, without a retry time. Rollouts and scoring calls are exempt.

--- a/turmericreach/attempts/__init__.py
+++ b/turmericreach/attempts/__init__.py
@@ -2,6 +2,7 @@
 
 from turmericreach.attempts.claim_cleaner import ClaimCleaner, ClaimRecord
 from turmericreach.attempts.claims import ClaimRegistry
+from turmericreach.attempts.fingerprint import attempt_fingerprint
 from turmericreach.attempts.ids import new_attempt_id, new_incarnation, new_request_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.runner import AttemptObserver, Peers, RequestRunner, Router
@@ -31,6 +32,7 @@
     "RequestRunner",
     "Router",
     "SentAttempt",
+    "attempt_fingerprint",
     "new_attempt_id",
     "new_incarnation",
     "new_request_id",
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from turmericreach.attempts.fingerprint import attempt_fingerprint
 from turmericreach.attempts.ids import new_attempt_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.sent import SentAttempt, settle_attempt
@@ -30,6 +31,7 @@
     PeerTimeout,
     PeerUnreachable,
 )
+from turmericreach.sharing import CrashTable
 from turmericreach.verdicts import ErrorCode, Outcome, Verdict
 
 __all__ = ["AttemptObserver", "Peers", "RequestRunner", "Router"]
@@ -109,15 +111,23 @@
         Is called for attempts and decisions.
     budget : RetryBudget
         Retry budget shared by all requests of this process.
+    crashes : CrashTable, optional
+        Requests under which targets have ended, as known to all processes together.
     """
 
     def __init__(
-        self, router: Router, peers: Peers, observer: AttemptObserver, budget: RetryBudget
+        self,
+        router: Router,
+        peers: Peers,
+        observer: AttemptObserver,
+        budget: RetryBudget,
+        crashes: CrashTable | None = None,
     ):
         self.router = router
         self.peers = peers
         self.observer = observer
         self.budget = budget
+        self.crashes = crashes or CrashTable()
 
     def now(self) -> float:
         """Return the time on the event loop's clock in seconds."""
@@ -152,7 +162,10 @@
         unclaimed = bool(request.key) and not request.idempotent
         may_have_run = False
         backoff_s = BACKOFF_START_S
+        fingerprint = ordinary_fingerprint(request)
         while True:
+            if fingerprint and self.crashes.is_rejected(fingerprint, self.now()):
+                return self.final_outcome(self.barred_outcome(request), may_have_run or unclaimed)
             choice = self.choose(request, tried)
             if isinstance(choice, Refusal):
                 outcome = self.refusal_outcome(request, choice)
@@ -166,6 +179,8 @@
             unclaimed = unclaimed and not sent
             if outcome.verdict is Verdict.ANSWERED:
                 self.budget.on_success(self.now())
+                if fingerprint:
+                    self.crashes.record_completion(fingerprint, self.now())
                 return outcome
             tried.append(choice.target)
             may_have_run = may_have_run or outcome.verdict is Verdict.MAY_HAVE_RUN
@@ -197,6 +212,12 @@
             evidence=f"gateway: {refusal.reason}",
         )
 
+    def barred_outcome(self, request: CallerRequest) -> Outcome:
+        """Report and return the outcome of a request under which targets have ended."""
+        reason = "targets have ended under this request"
+        self.observer.on_decision(request.request_id, "", "rejected", reason)
+        return Outcome(Verdict.NOT_RUN, code=ErrorCode.TARGET_FAILED, evidence=f"gateway: {reason}")
+
     async def wait_for_target(self, request, refusal, outcome, backoff_s) -> bool:
         """Wait before the next selection; return False without waiting if the refusal is final.
 
@@ -348,6 +369,15 @@
         return unknown_outcome
 
 
+def ordinary_fingerprint(request: CallerRequest) -> str:
+    """Return the digest of an ordinary request, empty for work that is owed in any case."""
+    if request.lot or request.priority != "ordinary":
+        return ""
+    return attempt_fingerprint(
+        request.service, request.method, request.path, request.headers, request.body
+    )
+
+
 def address_attempt(request, target: str, attempt_id: str, client: PeerClient) -> SentAttempt:
     """Return the address of an attempt at the agent at the other end of a connection."""
     deadline_ms = client.peer_deadline_ms(request.deadline)
--- a/turmericreach/daemon/agent_daemon.py
+++ b/turmericreach/daemon/agent_daemon.py
@@ -147,6 +147,7 @@
             now,
             self.node.metrics,
         )
+        hosted.crash_watch.on_crash = self.publish
         hosted.drained = self.drained.get(spec.name, False)
         self.attempts.targets[spec.name] = hosted
         if not hosted.is_model:
@@ -203,6 +204,7 @@
             waiting=waiting,
             slots=hosted.spec.slots,
             drained=hosted.drained or hosted.spec.drain,
+            crashed=hosted.crash_watch.report(),
         )
 
     # Loops
--- a/turmericreach/daemon/gateway.py
+++ b/turmericreach/daemon/gateway.py
@@ -40,6 +40,7 @@
 from turmericreach.routing import RoutingTable
 from turmericreach.rpc import Hello, PeerServer
 from turmericreach.security import TokenTable
+from turmericreach.sharing import CrashTable
 from turmericreach.telemetry import events, log_event
 from turmericreach.telemetry import metric_catalogue as metrics
 from turmericreach.verdicts import ErrorCode, Outcome, RequestError, Verdict
@@ -73,10 +74,11 @@
         self.fleet = FleetSync(node, self.on_config, lambda: None)
         self.table = RoutingTable(node.settings.data_centre, node.settings.region)
         self.breaker_watch = BreakerWatch(self.table.breaker)
-        self.routing_sync = RoutingSync(node, self.table)
+        self.crashes = CrashTable()
+        self.routing_sync = RoutingSync(node, self.table, self.crashes)
         self.peers = AgentPeers(node)
         self.runner = RequestRunner(
-            self, self.peers, self, ObservedBudget(node.metrics, node.now())
+            self, self.peers, self, ObservedBudget(node.metrics, node.now()), self.crashes
         )
         self.claims = ClaimRegistry(node.store, self, node.wall_clock)
         self.lots = LotService(node, self.lot_context)
--- a/turmericreach/daemon/hosted.py
+++ b/turmericreach/daemon/hosted.py
@@ -5,8 +5,9 @@
 
 import aiohttp
 
-from turmericreach.attempts import AttemptEntry, AttemptTable
+from turmericreach.attempts import AttemptEntry, AttemptTable, attempt_fingerprint
 from turmericreach.daemon.completions import CompletionResult, generation_outcome, parse_completion
+from turmericreach.daemon.crash_watch import CrashWatch
 from turmericreach.limits import (
     Admission,
     Admitted,
@@ -70,6 +71,8 @@
     arbiter : RateArbiter
         Permits within that limit. All requests to the target pass through this agent, so its
         permits are those of all hosts.
+    crash_watch : CrashWatch
+        Requests under which the target has ended.
     waiting : dict of str to asyncio.Future
         Attempts in the queues, by id. The result is None once an attempt holds a slot, or the
         code and reason of its rejection.
@@ -107,6 +110,7 @@
         self.admission = Admission(spec, service, manifest.policy, shares)
         self.window = RolloutWindow(spec.slots, manifest.policy, now)
         self.calendar = SiteCalendar(manifest.sites)
+        self.crash_watch = CrashWatch(spec.name, spec.url, table.incarnation, lambda: None)
         self.waiting: dict[str, asyncio.Future] = {}
         self.version = 0
         self.prepared = 0
@@ -336,7 +340,21 @@
             self.service.refusals_not_run,
             remaining_s,
         )
-        return await self.adapter.run(call, writer if attempt.stream else None)
+        outcome, streamed = await self.adapter.run(call, writer if attempt.stream else None)
+        self.watch_for_crash(attempt, outcome)
+        return outcome, streamed
+
+    def watch_for_crash(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Record whether the target completed an ordinary request, or check whether it ended."""
+        if attempt.priority != Priority.ORDINARY:
+            return
+        fingerprint = attempt_fingerprint(
+            self.spec.service, attempt.method, attempt.path, attempt.headers, attempt.body
+        )
+        if outcome.verdict is Verdict.ANSWERED:
+            self.crash_watch.record_response(fingerprint)
+        elif outcome.code is ErrorCode.TARGET_FAILED:
+            self.crash_watch.check(fingerprint, attempt.request_id)
 
     async def generate(self, attempt: Attempt, remaining_s: float) -> Outcome:
         """Run a rollout at the engine and return its outcome."""
--- a/turmericreach/daemon/routing_sync.py
+++ b/turmericreach/daemon/routing_sync.py
@@ -2,11 +2,13 @@
 
 import attrs
 
+from turmericreach.daemon.crash_watch import merge_crashes
 from turmericreach.daemon.node import Node
 from turmericreach.lots import EngineState, EngineView
 from turmericreach.membership import MemberRecord, TargetStatus
 from turmericreach.routing import LoadReport, RoutingTable, TargetState, rollout_capacity
 from turmericreach.rpc import PeerClient, PeerUnreachable
+from turmericreach.sharing import CrashTable
 
 __all__ = ["AgentPeers", "RoutingSync"]
 
@@ -47,11 +49,14 @@
         Source of the members and the manifest.
     table : RoutingTable
         The table to update.
+    crashes : CrashTable
+        Requests under which targets have ended, as their agents report.
     """
 
-    def __init__(self, node: Node, table: RoutingTable):
+    def __init__(self, node: Node, table: RoutingTable, crashes: CrashTable):
         self.node = node
         self.table = table
+        self.crashes = crashes
         self.applied: dict[str, AppliedMember] = {}
 
     def configure(self) -> None:
@@ -79,6 +84,7 @@
     def apply_member(self, record: MemberRecord, state: str, now: float) -> None:
         """Apply the status of the targets that a member serves."""
         for status in record.targets:
+            merge_crashes(self.crashes, status.crashed, now)
             if not self.is_holder(record, status):
                 continue
             target_state = self.state_of(status, state)
--- a/turmericreach/membership/__init__.py
+++ b/turmericreach/membership/__init__.py
@@ -1,6 +1,7 @@
 """Fleet membership: the member table of a process, its messages and failure detection."""
 
 from turmericreach.membership.records import (
+    CrashedRequest,
     Digest,
     DigestReply,
     HostState,
@@ -16,6 +17,7 @@
 from turmericreach.membership.table import MemberTable
 
 __all__ = [
+    "CrashedRequest",
     "Digest",
     "DigestReply",
     "HostState",
--- a/turmericreach/membership/records.py
+++ b/turmericreach/membership/records.py
@@ -10,6 +10,7 @@
 from turmericreach.weights.wanted import WantedVersion
 
 __all__ = [
+    "CrashedRequest",
     "Digest",
     "DigestReply",
     "HostState",
@@ -32,6 +33,25 @@
 STATE_ORDER = {"live": 0, "leaving": 1, "stopped": 2}
 
 
+@attrs.frozen
+class CrashedRequest:
+    """An ordinary request under which a target has ended.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of the request.
+    runs : list of str
+        Names of the runs of the target that ended.
+    last_ms : int
+        Unix time in milliseconds at which the last one ended.
+    """
+
+    fingerprint: str
+    runs: list[str]
+    last_ms: int
+
+
 @attrs.frozen
 class TargetStatus:
     """Status of one target, as reported by its agent.
@@ -56,6 +76,8 @@
         Whether an operator drained the target; unlike the state ``leaving`` this can be undone.
     prepared : int
         Highest weight version that the target is prepared to switch to.
+    crashed : list of CrashedRequest
+        Requests under which the target has ended.
     """
 
     name: str
@@ -68,6 +90,7 @@
     slots: int = 0
     drained: bool = False
     prepared: int = 0
+    crashed: list[CrashedRequest] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/turmericreach/telemetry/events.py
+++ b/turmericreach/telemetry/events.py
@@ -341,6 +341,14 @@
     Level.INFO,
     "{target} accepts {limit} requests a second (None: without a limit)",
 )
+TARGET_ENDED = Event(
+    "TR1905",
+    "target_ended",
+    Level.WARNING,
+    "{target} ended while it served a request",
+    "Check the target's log, and the request if it ends several targets.",
+    extra=("request_id", "fingerprint"),
+)
 ROLLOUTS_REDUCED = Event(
     "TR1902",
     "rollouts_reduced",
