Divide the engines by what their limits permit

Cause: an engine with a limit runs few requests at a time, each faster, so its measured speed made it the preferred engine; models were left with engines of one start a second, and the division of the engines changed every 2 s. Besides, engines that were idle between two lots kept one second of permits, one or two starts, while lots arrive whole.

The capacity of an engine is now bounded by what its limit permits, and an arbiter of the whole limit keeps three more permits: at most 5 s of the limit + 4 in any 4 s.

--- a/tests/versions/test_planner.py
+++ b/tests/versions/test_planner.py
@@ -1,5 +1,7 @@
 """Assignment of engines to models, and the orders to load versions."""
 
+import attrs
+
 from turmericreach.versions.planner import (
     EngineView,
     LoadOrder,
@@ -89,3 +91,13 @@
 def test_engine_with_a_newer_version_gets_no_order():
     """Guards against orders to load an older version."""
     assert plan_orders([view("a", x=5)], {"x": 4}, {"a": "x"}, max_loading=2) == []
+
+
+def test_engine_with_a_limit_counts_as_what_its_limit_permits():
+    """Guards against a model that is left with engines that accept a request a second."""
+    limited = [
+        attrs.evolve(view(f"limited{number}", 0.02), limit_events_per_s=16.0) for number in range(3)
+    ]
+    assigned = assign_models([*limited, view("free", 0.03)], {"x": 100.0, "y": 50.0}, {})
+    assert assigned["free"] == "x"
+    assert sorted(assigned.values()) == ["x", "y", "y", "y"]
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -40,10 +40,13 @@
         Loop time in seconds at which the lot became known here.
     expected_tokens : float
         Expected number of output tokens of all its items together.
+    items : int
+        Number of its items.
     """
 
     at: float
     expected_tokens: float
+    items: int
 
 
 class BatchRegistry:
@@ -139,7 +142,7 @@
     def record_demand(self, record: BatchRecord) -> None:
         """Record the arrival of the newest lot of a model and its expected work."""
         now = asyncio.get_running_loop().time()
-        self.arrivals[record.model] = ModelArrival(now, record.expected_tokens)
+        self.arrivals[record.model] = ModelArrival(now, record.expected_tokens, record.item_count)
 
     def object_removed(self, object: StoredObject) -> None:
         """Stop and remove a lot that was removed from the store."""
--- a/turmericreach/sharing/rates.py
+++ b/turmericreach/sharing/rates.py
@@ -8,11 +8,14 @@
 
 __all__ = ["Denial", "Permit", "PermitSource", "RateArbiter", "RateBucket"]
 
-# Unused permits of this many seconds are kept, since requests arrive unevenly.
+# Unused permits of this many seconds are kept, and this many more, since requests arrive unevenly.
+# In any 4 s a target thus gets at most 5 s of its limit and these, below 1.5 times the limit + 5.
 BURST_S = 1.0
+BURST_REQUESTS = 3
 # Targets with a lower limit still get requests at this rate, since only a response tells that the
 # limit has ended.
 MIN_RATE_PER_S = 0.25
+MAX_INTERVAL_S = 1.0 / MIN_RATE_PER_S
 
 
 @attrs.frozen
@@ -86,9 +89,12 @@
                 earliest = max(earliest, until)
         return earliest
 
-    def take(self, interval_s: float, now: float) -> None:
-        """Count one permit; the next one follows after an interval in seconds."""
-        self.next_at = max(self.next_at, now - BURST_S) + interval_s
+    def take(self, interval_s: float, burst_s: float, now: float) -> None:
+        """Count one permit; the next one follows after an interval in seconds.
+
+        Unused permits of the last `burst_s` seconds are kept.
+        """
+        self.next_at = max(self.next_at, now - burst_s) + interval_s
 
     def record_denial(self, interval_s: float, priority: int, now: float) -> None:
         """Record that a request of a priority needs the next permit."""
@@ -148,7 +154,11 @@
             if earliest < best_at:
                 best, best_at = target, earliest
         if best and best_at - now <= max_delay_s:
-            self.buckets[best].take(self.interval_s(limits[best]), now)
+            interval_s = self.interval_s(limits[best])
+            # Arbiters that grant a share each keep nothing beyond it: together they are many.
+            extra = BURST_REQUESTS if self.share == 1.0 else 0
+            burst_s = BURST_S + extra * min(interval_s, MAX_INTERVAL_S)
+            self.buckets[best].take(interval_s, burst_s, now)
             return Permit(best, best_at - now)
         for target, per_s in limits.items():
             self.buckets[target].record_denial(self.interval_s(per_s), priority, now)
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -229,8 +229,21 @@
             slots=target.record.slots,
             event_s=target.latency_s or self.peers.event_s(target.id),
             loading=now < self.busy_until.get(target.id, 0.0),
+            limit_events_per_s=self.limit_events_per_s(target),
         )
 
+    def limit_events_per_s(self, target: Target) -> float:
+        """Return the events per second that the limit of a target permits, else infinity."""
+        per_s = self.directory.limits.per_s(target.id)
+        if per_s is None:
+            return float("inf")
+        service = self.configuration.services[target.record.service]
+        tokens = sum(arrival.expected_tokens for arrival in self.arrivals.values())
+        items = sum(arrival.items for arrival in self.arrivals.values())
+        if not items:
+            return float("inf")
+        return per_s * tokens / items / max(service.engine.tokens_per_event, 1.0)
+
     async def send_order(self, order: LoadOrder, target: Target, token: int) -> None:
         """Send one order, record its outcome and log it.
 
--- a/turmericreach/versions/planner.py
+++ b/turmericreach/versions/planner.py
@@ -33,6 +33,9 @@
         Seconds per event, 0 if unknown.
     loading : bool
         Whether the engine is, or may be, processing a load order.
+    limit_events_per_s : float
+        Events per second of the requests that its limit permits, infinite without a limit. A
+        limited engine runs few requests at a time, each faster, so its speed says too much.
     """
 
     id: str
@@ -40,10 +43,11 @@
     slots: int = 1
     event_s: float = 0.0
     loading: bool = False
+    limit_events_per_s: float = float("inf")
 
     def capacity(self) -> float:
-        """Return the events per second with all slots occupied."""
-        return self.slots / (self.event_s or DEFAULT_EVENT_S)
+        """Return the events per second with all slots occupied, or as its limit permits."""
+        return min(self.slots / (self.event_s or DEFAULT_EVENT_S), self.limit_events_per_s)
 
 
 @attrs.frozen
