Bound the time for which a stalled watch of the coordinator goes unnoticed

The log of the store's stand-in shows the cause: the watch of the versions stalled (a fault that the soak injects), and waited for its timeout of 20 s. A stalled watch of another kind is restarted when another process reports a change that it has not; the kinds that only the coordinator watches have no such witness.

These watches now end after 3 s, so that a stalled one is replaced after 5 s, at the cost of about one call a second of the coordinator alone. The new test failed before (13 s) and passes. Ruled out: lost write responses and the compaction, after which the other watches were listed again.

--- a/tests/node/test_version_orders.py
+++ b/tests/node/test_version_orders.py
@@ -105,3 +105,22 @@
         return status == {"state": "completed"}
 
     await eventually(done)
+
+
+async def test_version_is_loaded_although_the_watch_of_the_coordinator_has_stalled(world):
+    """Guards against engines that keep old weights while a stalled watch waits for its end.
+
+    Only the coordinator watches the requested versions, so no other process can tell that its watch
+    has missed a change (soak, seed 2).
+    """
+    gateway = await world.add_gateway("g1")
+    await eventually(lambda: gateway.duty.token is not None)
+    await asyncio.sleep(0.5)
+    world.store.faults.stalled_watches = 100
+    world.store.compact()
+    await asyncio.sleep(0.3)
+    world.store.faults.stalled_watches = 0
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await eventually(
+        lambda: all(world.targets[name].models[MODEL] == 2 for name in ("e1", "e2")), 10.0
+    )
--- a/turmericreach/node/coordinator.py
+++ b/turmericreach/node/coordinator.py
@@ -13,8 +13,9 @@
 
 __all__ = ["Coordinator"]
 
-# Timeout of watches on kinds that only the coordinator watches; a change ends the wait earlier.
-WATCH_WAIT_S = 20.0
+# Timeout of watches on kinds that only the coordinator watches; a change ends the wait earlier. It
+# bounds how long a stalled watch goes unnoticed, since no other process could report the change.
+WATCH_WAIT_S = 3.0
 
 
 class Coordinator:
