Find a stalled watch of the coordinator by cheap reads instead of short watches

The coordinator now reads the list of requested versions and of retirements every 2 s with a call that may be stale, at a tenth of the price of a watch, and restarts a watch that has missed a change. The stalled-watch test passes, as does the test of owners. No contact with the store is counted that was not there before: the read fails when the store refuses calls.

--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -133,6 +133,18 @@
                 return objects, revision
             after = page.next_after
 
+    async def newest_revision(self, kind: str) -> int:
+        """Return the highest revision of the objects of a small kind, which may be seconds old.
+
+        Raises
+        ------
+        Unavailable
+            If the store did not respond.
+        """
+        body = await self.call("check", wire.stale_list_call(kind))
+        page, _ = self.decode_response(wire.decode_page_response, kind, body)
+        return max((object.revision for object in page.objects), default=0)
+
     def watch_delay_s(self, kind: str) -> float:
         """Return the seconds to wait before the next watch of a kind, which is none here."""
         return 0.0
--- a/turmericreach/node/coordinator.py
+++ b/turmericreach/node/coordinator.py
@@ -1,11 +1,13 @@
 """Tasks of the process that holds the coordinator duty."""
 
+import asyncio
+
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.batches.supervisor import LotSupervisor
 from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.names import LOTS_KIND
 from turmericreach.coordination.peers import PeerTable
-from turmericreach.metadata import KindMirror, MetadataClient
+from turmericreach.metadata import KindMirror, MetadataClient, MetadataError
 from turmericreach.node.supervision import TaskSupervisor
 from turmericreach.platform import store as store_wire
 from turmericreach.versions.converger import VersionConverger
@@ -13,9 +15,13 @@
 
 __all__ = ["Coordinator"]
 
-# Timeout of watches on kinds that only the coordinator watches; a change ends the wait earlier. It
-# bounds how long a stalled watch goes unnoticed, since no other process could report the change.
-WATCH_WAIT_S = 3.0
+# Timeout of watches on kinds that only the coordinator watches; a change ends the wait earlier.
+WATCH_WAIT_S = 20.0
+# Interval of the reads that show whether one of these watches has stalled, since no other process
+# could report a change that it misses.
+WATCH_CHECK_INTERVAL_S = 2.0
+# Kinds whose watches are checked. Lots are reported by the processes that store them.
+CHECKED_KINDS = (store_wire.VERSIONS_KIND, store_wire.RETIREMENTS_KIND)
 
 
 class Coordinator:
@@ -80,6 +86,24 @@
         for kind, listener in listeners.items():
             mirror = KindMirror(self.client, kind, listener, WATCH_WAIT_S)
             tasks.start(f"mirror of {kind}", mirror.run)
+            if kind in CHECKED_KINDS:
+                tasks.start(f"check of {kind}", lambda mirror=mirror: self.check_watch(mirror))
         tasks.start("lots", supervisor.run)
         tasks.start("versions", self.converger.run)
         tasks.start("retirements", retirements.run)
+
+    async def check_watch(self, mirror: KindMirror) -> None:
+        """Restart a watch that has missed a change, until cancelled.
+
+        Load pattern: trainers name a version every few seconds. If the watch has stalled, engines
+        would keep their old weights until it times out. A read that may be stale costs a tenth of
+        the price of a watch.
+        """
+        while True:
+            await asyncio.sleep(WATCH_CHECK_INTERVAL_S)
+            try:
+                revision = await self.client.newest_revision(mirror.kind)
+            except MetadataError:
+                # The client logs that the store is unavailable; its watches end by themselves.
+                continue
+            mirror.check_for_missed_change(revision)
--- a/turmericreach/platform/store.py
+++ b/turmericreach/platform/store.py
@@ -26,6 +26,7 @@
     "list_call",
     "probe_call",
     "replace_call",
+    "stale_list_call",
     "status_call",
     "watch_call",
 ]
@@ -87,6 +88,11 @@
     return StoreCall("GET", path(kind) + query)
 
 
+def stale_list_call(kind: str) -> StoreCall:
+    """Return the cheap call that reads the first objects of a kind, which may be seconds old."""
+    return StoreCall("GET", path(kind) + "?staleOk=1")
+
+
 def watch_call(kind: str, revision: int, wait_s: float) -> StoreCall:
     """Return the call that waits up to `wait_s` seconds for changes after a revision."""
     return StoreCall("GET", f"{path(kind)}?watch={revision}&waitMs={int(wait_s * 1000)}")
