--- a/turmericreach/attempts/request.py
+++ b/turmericreach/attempts/request.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from turmericreach.attempts.fingerprint import attempt_fingerprint
+
 __all__ = ["CallerRequest"]
 
 
@@ -62,3 +64,9 @@
     prefix: str = ""
     expected_tokens: int = 0
     preferred_target: str = ""
+
+    def ordinary_fingerprint(self) -> str:
+        """Return the digest of an ordinary request, empty for work that is owed in any case."""
+        if self.lot or self.priority != "ordinary":
+            return ""
+        return attempt_fingerprint(self.service, self.method, self.path, self.headers, self.body)
--- a/turmericreach/attempts/runner.py
+++ b/turmericreach/attempts/runner.py
@@ -8,7 +8,6 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from turmericreach.attempts.fingerprint import attempt_fingerprint
 from turmericreach.attempts.ids import new_attempt_id
 from turmericreach.attempts.request import CallerRequest
 from turmericreach.attempts.sent import SentAttempt, settle_attempt
@@ -162,7 +161,7 @@
         unclaimed = bool(request.key) and not request.idempotent
         may_have_run = False
         backoff_s = BACKOFF_START_S
-        fingerprint = ordinary_fingerprint(request)
+        fingerprint = request.ordinary_fingerprint()
         while True:
             if fingerprint and self.crashes.is_rejected(fingerprint, self.now()):
                 return self.final_outcome(self.barred_outcome(request), may_have_run or unclaimed)
@@ -369,15 +368,6 @@
         return unknown_outcome
 
 
-def ordinary_fingerprint(request: CallerRequest) -> str:
-    """Return the digest of an ordinary request, empty for work that is owed in any case."""
-    if request.lot or request.priority != "ordinary":
-        return ""
-    return attempt_fingerprint(
-        request.service, request.method, request.path, request.headers, request.body
-    )
-
-
 def address_attempt(request, target: str, attempt_id: str, client: PeerClient) -> SentAttempt:
     """Return the address of an attempt at the agent at the other end of a connection."""
     deadline_ms = client.peer_deadline_ms(request.deadline)
--- a/turmericreach/batches/item_permits.py
+++ b/turmericreach/batches/item_permits.py
@@ -7,7 +7,7 @@
 
 from turmericreach.placement import EngineState, WaitingItem
 from turmericreach.services import TargetDirectory
-from turmericreach.sharing import Permit, PermitSource
+from turmericreach.sharing import Permit, PermitSource, permit_interval_s
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -46,7 +46,7 @@
         if per_s is None:
             return state
         held = int(self.held.get(state.id, now) > now)
-        return attrs.evolve(state, permits=held, permit_interval_s=1.0 / max(per_s, 0.1))
+        return attrs.evolve(state, permits=held, permit_interval_s=permit_interval_s(per_s))
 
     def use(self, engine: str) -> None:
         """Use the permit for an engine, if it needs one."""
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from turmericreach.batches.arrivals import ModelArrival
 from turmericreach.batches.items import ItemTable
 from turmericreach.batches.log import BatchLog, segment_kind
 from turmericreach.batches.model import BatchSpec, ItemResult, Progress
@@ -22,7 +23,7 @@
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-__all__ = ["BatchRegistry", "ModelArrival"]
+__all__ = ["BatchRegistry"]
 
 # Maximum number of items whose text is cached for a later lot.
 MAX_CACHED_PROGRESS = 512
@@ -30,25 +31,6 @@
 OBJECT_DELAY_S = 0.05
 
 
-@attrs.frozen
-class ModelArrival:
-    """The newest lot of a model.
-
-    Attributes
-    ----------
-    at : float
-        Loop time in seconds at which the lot became known here.
-    expected_tokens : float
-        Expected number of output tokens of all its items together.
-    items : int
-        Number of its items.
-    """
-
-    at: float
-    expected_tokens: float
-    items: int
-
-
 class BatchRegistry:
     """Follows the stored lots and runs those whose owner is this host.
 
--- a/turmericreach/coordination/crashing_requests.py
+++ b/turmericreach/coordination/crashing_requests.py
@@ -1,4 +1,4 @@
-"""Requests that have ended targets: what all processes know, kept in the metadata store."""
+"""Exchange of the evidence against requests that end targets, and its copy in the store."""
 
 import asyncio
 import time
@@ -18,6 +18,8 @@
 # Bound on the objects in the store; a request beyond it is known only to the running processes.
 MAX_STORED = 500
 MS_PER_S = 1000
+# Stands for a request that no target has completed, since JSON has no infinity.
+NEVER_S = 1e9
 
 
 class CrashingRequests:
@@ -55,7 +57,7 @@
                     fingerprint,
                     sorted(record.targets),
                     now - record.last_at,
-                    min(now - record.cleared_at, 1e9),
+                    min(now - record.cleared_at, NEVER_S),
                 )
             )
         return found
@@ -68,7 +70,7 @@
                 request.fingerprint,
                 request.targets,
                 now - request.last_s,
-                now - request.cleared_s if request.cleared_s < 1e9 else float("-inf"),
+                now - request.cleared_s if request.cleared_s < NEVER_S else float("-inf"),
                 now,
             )
 
@@ -78,7 +80,8 @@
         """Apply a request in the store, which some process has found to end targets."""
         fingerprint = object.name[len(CRASHING_PREFIX) :]
         self.stored[fingerprint] = object
-        targets, at_ms = object.spec.get("targets"), object.spec.get("lastMs")
+        spec = object.spec if isinstance(object.spec, dict) else {}
+        targets, at_ms = spec.get("targets"), spec.get("lastMs")
         if not isinstance(targets, list) or not isinstance(at_ms, int):
             log_event(
                 events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=f"{object.name}: fields"
--- a/turmericreach/coordination/permits.py
+++ b/turmericreach/coordination/permits.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from turmericreach.coordination.messages import PermitReply, PermitRequest, TargetLimit
-from turmericreach.coordination.peers import Peer, PeerTable
+from turmericreach.coordination.peer import Peer
+from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
 from turmericreach.sharing import Denial, LimitTable, Permit, RateArbiter
 from turmericreach.telemetry import log_event
@@ -45,6 +46,8 @@
         Grants this process's share while the arbiter cannot be reached, else None.
     failed_at : float
         Loop time in seconds of the last call that the arbiter did not answer.
+    retry_at : float
+        Loop time in seconds before which the arbiter is not asked again after a failed call.
     denied_until : dict of str to float
         Loop time in seconds until which no permit for a target is asked for, by target id.
     counts : dict of str to int
--- a/turmericreach/coordination/relay.py
+++ b/turmericreach/coordination/relay.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from turmericreach.coordination.messages import ChangePage
-from turmericreach.coordination.peers import Peer, PeerTable
+from turmericreach.coordination.peer import Peer
+from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
 from turmericreach.metadata import KindMirror, MetadataClient, StoredObject, WatchPage
 
--- a/turmericreach/coordination/shared_state.py
+++ b/turmericreach/coordination/shared_state.py
@@ -5,7 +5,8 @@
 
 from turmericreach.coordination.crashing_requests import CrashingRequests
 from turmericreach.coordination.messages import SharedState
-from turmericreach.coordination.peers import Peer, PeerTable
+from turmericreach.coordination.peer import Peer
+from turmericreach.coordination.peers import PeerTable
 from turmericreach.coordination.permits import TargetPermits
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
 from turmericreach.telemetry import log_event
--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -10,7 +10,8 @@
 from turmericreach.batches.handover import owner_subject
 from turmericreach.batches.records import BatchRecord
 from turmericreach.coordination.messages import LotNotice
-from turmericreach.coordination.peers import FRESH_STORE_AGE_S, Peer, PeerTable
+from turmericreach.coordination.peer import Peer
+from turmericreach.coordination.peers import FRESH_STORE_AGE_S, PeerTable
 from turmericreach.http1 import (
     ConnectFailed,
     Request,
--- a/turmericreach/sharing/__init__.py
+++ b/turmericreach/sharing/__init__.py
@@ -3,7 +3,13 @@
 from turmericreach.sharing.crashes import MAX_CRASHES, CrashTable
 from turmericreach.sharing.fingerprints import request_fingerprint
 from turmericreach.sharing.limits import Limit, LimitTable, parse_rate
-from turmericreach.sharing.rates import Denial, Permit, PermitSource, RateArbiter
+from turmericreach.sharing.rates import (
+    Denial,
+    Permit,
+    PermitSource,
+    RateArbiter,
+    permit_interval_s,
+)
 from turmericreach.sharing.tables import SharedTables
 
 __all__ = [
@@ -17,5 +23,6 @@
     "RateArbiter",
     "SharedTables",
     "parse_rate",
+    "permit_interval_s",
     "request_fingerprint",
 ]
--- a/turmericreach/sharing/rates.py
+++ b/turmericreach/sharing/rates.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Denial", "Permit", "PermitSource", "RateArbiter", "RateBucket"]
+__all__ = ["Denial", "Permit", "PermitSource", "RateArbiter", "RateBucket", "permit_interval_s"]
 
 # Unused permits of this many seconds are kept, and this many more, since requests arrive unevenly.
 # In any 4 s a target thus gets at most 5 s of its limit and these, below 1.5 times the limit + 5.
@@ -47,6 +47,11 @@
     retry_s: float
 
 
+def permit_interval_s(per_s: float) -> float:
+    """Return the seconds between two permits at a limit in requests a second."""
+    return 1.0 / max(per_s, MIN_RATE_PER_S)
+
+
 class PermitSource(Protocol):
     """Interface through which a process obtains permits."""
 
@@ -166,7 +171,7 @@
 
     def interval_s(self, per_s: float) -> float:
         """Return the seconds between two permits of this arbiter at a limit."""
-        return 1.0 / (self.share * max(per_s, MIN_RATE_PER_S))
+        return permit_interval_s(per_s) / self.share
 
     def bucket(self, target: str, per_s: float, now: float) -> RateBucket:
         """Return the permits of a target."""
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 
-from turmericreach.batches.registry import ModelArrival
+from turmericreach.batches.arrivals import ModelArrival, tokens_per_item
 from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.messages import LoadNotice
 from turmericreach.coordination.names import DIVISION_NAME, OWN_KIND
@@ -238,11 +238,8 @@
         if per_s is None:
             return float("inf")
         service = self.configuration.services[target.record.service]
-        tokens = sum(arrival.expected_tokens for arrival in self.arrivals.values())
-        items = sum(arrival.items for arrival in self.arrivals.values())
-        if not items:
-            return float("inf")
-        return per_s * tokens / items / max(service.engine.tokens_per_event, 1.0)
+        tokens_per_event = max(service.engine.tokens_per_event, 1.0)
+        return per_s * tokens_per_item(self.arrivals.values()) / tokens_per_event
 
     async def send_order(self, order: LoadOrder, target: Target, token: int) -> None:
         """Send one order, record its outcome and log it.
