--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,6 +46,7 @@
         self.late: dict = {}
 
     async def handle(self, request: Message, reader, writer) -> bool:
+        """Send a pending extra response, then serve the request."""
         late = self.late.pop(writer, None)
         if late is not None:
             self.record.add(f"{self.name} sends the extra response of {late[0]}")
@@ -53,6 +54,7 @@
         return await super().handle(request, reader, writer)
 
     async def answer(self, request: Message, writer, status: int, extra: dict, body) -> None:
+        """Send a response, and prepare an extra copy of some."""
         await super().answer(request, writer, status, extra, body)
         if not self.faulty:
             return
@@ -65,6 +67,7 @@
 
 
 async def case(deployment: Deployment) -> list[str]:
+    """Play the case and return the breaches."""
     record = deployment.record
     for number in range(WORKERS):
         worker = FaultyWorker(f"i-desk{number}", "order-desk", deployment.store, record)
--- a/review/standins.py
+++ b/review/standins.py
@@ -48,9 +48,11 @@
         self.started = time.monotonic()
 
     def now(self) -> float:
+        """Return the seconds since the start."""
         return time.monotonic() - self.started
 
     def add(self, text: str) -> None:
+        """Write one line."""
         self.file.write(f"{self.now():8.3f} {text}\n")
         self.file.flush()
 
@@ -68,14 +70,17 @@
 
     @property
     def method(self) -> str:
+        """Return the method of a request."""
         return self.first[0]
 
     @property
     def target(self) -> str:
+        """Return the target of a request."""
         return self.first[1]
 
     @property
     def status(self) -> int:
+        """Return the status of a response."""
         return int(self.first[1])
 
 
@@ -123,6 +128,7 @@
 
 
 def response(status: int, fields: dict[str, str], body: bytes = b"") -> bytes:
+    """Return a response with a length."""
     return encode(f"HTTP/1.1 {status} X", fields, body)
 
 
@@ -135,11 +141,13 @@
         self.writers = set()
 
     async def listen(self, ip: str = "127.0.0.1", backlog: int = 1024) -> str:
+        """Listen at a free port and return the address."""
         self.server = await asyncio.start_server(self.serve, ip, 0, backlog=backlog)
-        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.address = ":".join(str(part) for part in self.server.sockets[0].getsockname()[:2])
         return self.address
 
     async def serve(self, reader, writer) -> None:
+        """Handle the requests of one channel."""
         self.writers.add(writer)
         try:
             while True:
@@ -196,17 +204,20 @@
         return value
 
     def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
         value = self.objects.pop((kind, name))
         self.revision += 1
         value = {**value, "metadata": {**value["metadata"], "revision": self.revision}}
         self.note(kind, True, value)
 
     def note(self, kind: str, removed: bool, value: dict) -> None:
+        """Add a change to the history and wake the watches."""
         self.history.append((self.revision, kind, removed, value))
         self.changed.set()
         self.changed = asyncio.Event()
 
     async def handle(self, request: Message, reader, writer) -> bool:
+        """Serve one call."""
         path, _, query_text = request.target.partition("?")
         parts = [unquote(part) for part in path.removeprefix("/api/objects/").split("/")]
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
@@ -223,6 +234,7 @@
         return True
 
     def read(self, kind: str, name: str | None, query: dict) -> tuple[int, dict | None]:
+        """Return an object or a page of a list."""
         if name is not None:
             value = self.objects.get((kind, name))
             return (200 if value else 404), value
@@ -236,6 +248,7 @@
         }
 
     async def watch(self, kind: str, query: dict) -> tuple[int, dict]:
+        """Return the changes after a revision, waiting for the first."""
         since = int(query["watch"])
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
         while True:
@@ -251,6 +264,7 @@
                 await asyncio.wait_for(self.changed.wait(), rest)
 
     def write(self, request: Message, kind: str, name: str | None, status: bool):
+        """Carry out a conditional write."""
         if request.method == "DELETE":
             if (kind, name) not in self.objects:
                 return 404, None
@@ -314,10 +328,12 @@
         }
 
     def is_full(self) -> bool:
+        """Return whether the worker rejects requests now."""
         busy = time.monotonic() < self.occupied_until
         return busy or self.active >= self.slots + self.queue
 
     async def handle(self, request: Message, reader, writer) -> bool:
+        """Serve a report, a rejection, or a request that runs."""
         if request.target == "/api/report":
             report = {"stage": "both", "models": [], "busy": False, "seq": 0, "waiting": 0,
                       "running": self.active, "kvUsed": 0, "kvTotal": 1, "handles": 0,
@@ -346,6 +362,7 @@
         return True
 
     async def answer(self, request: Message, writer, status: int, extra: dict, body) -> None:
+        """Send a response."""
         writer.write(response(status, {**self.fields(request), **extra}, body))
         await writer.drain()
 
@@ -361,6 +378,7 @@
 
     @classmethod
     async def open(cls, address: str, **options) -> "Channel":
+        """Open a channel to an address."""
         host, _, port = address.rpartition(":")
         return cls(*await asyncio.open_connection(host, int(port), **options))
 
@@ -376,6 +394,7 @@
             return None
 
     def close(self) -> None:
+        """Close the channel."""
         with contextlib.suppress(Exception):
             self.writer.close()
 
@@ -400,6 +419,7 @@
 
 
 def free_port(ip: str) -> int:
+    """Return a free port of an address."""
     with socket.socket() as sock:
         sock.bind((ip, 0))
         return sock.getsockname()[1]
@@ -436,11 +456,14 @@
         self.process = None
 
     async def start(self) -> None:
+        """Start the process."""
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
         with (ROOT / "deploy/system.toml").open("rb") as file:
             command = tomllib.load(file)["roles"]["gateway"]["run"].split()
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["TURMERICREACH_NODE_FILE"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         log = (self.folder / f"{self.name}.log").open("ab")
@@ -451,10 +474,12 @@
         log.close()
 
     async def is_ready(self) -> bool:
+        """Return whether the gateway says that it is ready."""
         answer = await call(self.ready, "GET", "/api/ready", {"Host": "ready"}, limit_s=1.0)
         return answer is not None and answer.status == 200
 
     async def wait_ready(self, limit_s: float = 15.0) -> None:
+        """Wait until the gateway says that it is ready."""
         until = time.monotonic() + limit_s
         while not await self.is_ready():
             if time.monotonic() > until or self.process.returncode is not None:
@@ -462,6 +487,7 @@
             await asyncio.sleep(0.1)
 
     async def end(self) -> None:
+        """Kill the process if it runs."""
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGCONT)
@@ -479,11 +505,13 @@
         self.gateways: list[Gateway] = []
 
     def configure(self, version: int, routes: list[dict], services: list[dict]) -> None:
+        """Write a version of the configuration."""
         self.store.put("config", "main", spec={
             "version": version, "routes": routes, "services": services, "limits": LIMITS,
         })  # fmt: skip
 
     async def start_gateways(self, count: int) -> None:
+        """Start gateways and wait until all are ready."""
         for number in range(count):
             self.gateways.append(Gateway(number, self.store.address, self.folder))
         for gateway in self.gateways:
@@ -492,6 +520,7 @@
             await gateway.wait_ready()
 
     async def end(self) -> None:
+        """End all processes and stand-ins."""
         for gateway in self.gateways:
             await gateway.end()
         for server in [*self.workers, self.store]:
@@ -508,9 +537,17 @@
 
 
 def plain_service(name: str) -> dict:
+    """Return a service whose workers are not engines."""
     return {"name": name, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": False}
 
 
+def keep_logs(temporary: str) -> None:
+    """Copy the logs of the gateways to the folder that `KEEP_LOGS` names, if it is set."""
+    if os.environ.get("KEEP_LOGS"):
+        for path in Path(temporary).glob("*.log"):
+            (Path(os.environ["KEEP_LOGS"]) / path.name).write_bytes(path.read_bytes())
+
+
 def run_case(folder: str, case) -> None:
     """Run a case and exit with 0 if the rule held, 1 if it was broken, 2 if it could not run.
 
@@ -531,9 +568,7 @@
                 return await asyncio.wait_for(case(deployment), 110)
             finally:
                 await deployment.end()
-                if os.environ.get("KEEP_LOGS"):
-                    for path in Path(temporary).glob("*.log"):
-                        (Path(os.environ["KEEP_LOGS"]) / path.name).write_bytes(path.read_bytes())
+                keep_logs(temporary)
 
     record.add("with the disruption" if TROUBLE else "without the disruption")
     try:
@@ -552,4 +587,5 @@
 
 
 def new_id() -> str:
+    """Return an id as consumers make them."""
     return f"{random.getrandbits(64):016x}"
