Review: show that one spoiled byte leaves an item unserved

Looked for: errors in a run of an item after which nothing starts the item again. How: reading the run of an item and the decoders of response heads; a script with one spoiled byte.

--- a/review/standins.py
+++ b/review/standins.py
@@ -304,6 +304,7 @@
         super().__init__()
         self.name, self.service, self.store, self.record = name, service, store, record
         self.slots = slots
+        self.version = 1
         self.queue = 4
         self.active = 0
         self.work_s = 0.02
@@ -311,13 +312,17 @@
         self.occupied_until = 0.0
         self.born = int(time.time() * 1000)
 
-    def enlist(self, state: str = "ready") -> None:
-        """Write the worker's entry to the store."""
-        self.store.put("servers", self.name, spec={
+    def entry(self, state: str) -> dict:
+        """Return the entry in the store."""
+        return {
             "service": self.service, "address": self.address, "zone": "muscat-a",
             "version": "v1", "slots": self.slots, "state": state, "coldLeftMs": 0,
             "stage": "both", "models": [], "seq": 0, "born": self.born,
-        })  # fmt: skip
+        }  # fmt: skip
+
+    def enlist(self, state: str = "ready") -> None:
+        """Write the worker's entry to the store."""
+        self.store.put("servers", self.name, spec=self.entry(state))
 
     def fields(self, request: Message) -> dict[str, str]:
         """Return the header fields of each response to a request."""
@@ -335,7 +340,8 @@
     async def handle(self, request: Message, reader, writer) -> bool:
         """Serve a report, a rejection, or a request that runs."""
         if request.target == "/api/report":
-            report = {"stage": "both", "models": [], "busy": False, "seq": 0, "waiting": 0,
+            models = self.entry("ready")["models"]
+            report = {"stage": "both", "models": models, "busy": False, "seq": 0, "waiting": 0,
                       "running": self.active, "kvUsed": 0, "kvTotal": 1, "handles": 0,
                       "born": self.born}  # fmt: skip
             writer.write(response(200, {}, json.dumps(report).encode()))
@@ -367,6 +373,69 @@
         await writer.drain()
 
 
+class Engine(Worker):
+    """A model worker: its responses are streams of numbered events, which may be resumed.
+
+    Attributes
+    ----------
+    finished : dict of str to float
+        Time at which the last event of each request was sent, by attempt id.
+    failed : set of str
+        Attempt ids of the requests that were answered with a failure.
+    """
+
+    def __init__(self, name: str, service: str, store: Store, record: Record, slots: int = 8):
+        super().__init__(name, service, store, record, slots)
+        self.queue = 24
+        self.model = "m0"
+        self.events = 14
+        self.event_s = 0.008
+        self.finished: dict[str, float] = {}
+        self.failed: set[str] = set()
+
+    def entry(self, state: str) -> dict:
+        """Return the entry in the store, with the model."""
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return {**super().entry(state), "models": models}
+
+    def event(self, attempt: str, number: int) -> str:
+        """Return the data of an event, which depends on the request and the number only."""
+        return f"{attempt[:6]} part {number}"
+
+    def text(self, attempt: str) -> str:
+        """Return the whole text of a request."""
+        return "\n".join(self.event(attempt, number) for number in range(1, self.events + 1))
+
+    def stream_head(self, request: Message) -> bytes:
+        """Return the head of the response to a request."""
+        fields = {
+            **self.fields(request),
+            "X-Server-Stamp": f"stamp-{self.name}-{request.fields.get('x-attempt-id')}",
+            "X-Weight-Versions": str(self.version),
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in fields.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    async def run(self, request: Message, reader, writer) -> bool:
+        """Send the events after `Last-Event-Id`; stop when the channel closes."""
+        attempt = request.fields.get("x-attempt-id", "")
+        writer.write(self.stream_head(request))
+        begun = int(request.fields.get("last-event-id", "0"))
+        for number in range(begun + 1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            if reader.at_eof() or writer.transport.is_closing():
+                return False
+            data = f"id: {number}\ndata: {self.event(attempt, number)}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        self.finished[attempt] = self.record.now()
+        return True
+
+
 # Consumers
 
 
@@ -541,6 +610,95 @@
     return {"name": name, "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": False}
 
 
+def engine_service(name: str) -> dict:
+    """Return a service of model workers."""
+    engine = {
+        "slots": 8, "kvCapacityTokens": 90005, "kvTokenBytes": 163840, "linkMbps": 1400000.0,
+        "moves": True, "backups": True, "stride": 58, "most": 12, "pinMs": 4000.0,
+        "holdMs": 2000.0, "handle_s": 5.0, "models": [{"name": "m0"}],
+    }  # fmt: skip
+    return {**plain_service(name), "maxConns": 150, "engine": engine}
+
+
+def rollout_route(name: str, service: str) -> dict:
+    """Return a route of batch jobs."""
+    return route(
+        name, "rollout", service, timeoutMs=10000, goalMs=500, dueMs=7500, priority=1,
+        maxAttempts=3, queueTtlS=60,
+    )  # fmt: skip
+
+
+class Trainer:
+    """Submits a batch job, reads its results twice a second, and ends it at its time limit.
+
+    Attributes
+    ----------
+    items : list of str
+        Ids of the items.
+    results : dict of str to dict
+        Results by item, as read.
+    """
+
+    def __init__(self, gateway, record: Record, groups: int, score_path: str):
+        self.gateway, self.record = gateway, record
+        self.lot = new_id()
+        self.results: dict[str, dict] = {}
+        self.positions: list[str] = []
+        self.items = [new_id() for _ in range(4 * groups)]
+        self.body = {
+            "step": 0, "model": "m0", "minVersion": 1, "targetGroups": groups,
+            "items": [self.item(item, number // 4, score_path)
+                      for number, item in enumerate(self.items)],
+        }  # fmt: skip
+
+    def item(self, item: str, group: int, score_path: str) -> dict:
+        """Return one item as it is submitted."""
+        return {
+            "id": item, "path": f"/rollout/{item}",
+            "headers": {"X-Model": "m0", "X-Token-Counts": "1016,812",
+                        "X-Prompt-Prefix": f"{group:x}a{self.lot[:4]}:1000,{item[:8]}:16"},
+            "body": "Z2Vs", "tokens": 1828, "group": f"g{group}{self.lot[:6]}",
+            "scorer": {"id": f"{int(item, 16) ^ 1:016x}", "host": "desk.example",
+                       "path": score_path, "body": "c2NvcmU="},
+        }  # fmt: skip
+
+    async def submit(self, path: str, limit_s: float = 4.0) -> int | None:
+        """Submit the batch job once and return the status."""
+        fields = {"Host": "desk.example", "X-Attempt-Id": self.lot,
+                  "Content-Type": "application/json"}  # fmt: skip
+        body = json.dumps(self.body).encode()
+        answer = await call(self.gateway.front, "POST", path, fields, body, limit_s)
+        status = None if answer is None else answer.status
+        self.record.add(f"batch job {self.lot} at {self.gateway.name}: {status}")
+        return status
+
+    async def read(self, gateway=None) -> int | None:
+        """Read the next results and return the status."""
+        fields = {"Host": "desk.example", "X-Wait-Ms": "1000"}
+        target = f"/api/lots/{self.lot}?after={len(self.positions)}"
+        address = (gateway or self.gateway).front
+        answer = await call(address, "GET", target, fields, limit_s=2.5)
+        if answer is None or answer.status != 200:
+            return None if answer is None else answer.status
+        for result in json.loads(answer.body)["results"]:
+            self.positions.append(result["id"])
+            self.results[result["id"]] = result
+            self.record.add(f"read of {self.lot}: {result['id']} {result['state']}")
+        return 200
+
+    async def read_until(self, limit: float) -> None:
+        """Read until all items are listed, or until a time of the record."""
+        while self.record.now() < limit and len(self.results) < len(self.items):
+            await self.read()
+            await asyncio.sleep(0.5)
+
+    async def end(self) -> int | None:
+        """End the batch job."""
+        fields = {"Host": "desk.example"}
+        answer = await call(self.gateway.front, "DELETE", f"/api/lots/{self.lot}", fields)
+        return None if answer is None else answer.status
+
+
 def keep_logs(temporary: str) -> None:
     """Copy the logs of the gateways to the folder that `KEEP_LOGS` names, if it is set."""
     if os.environ.get("KEEP_LOGS"):
