--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Characters that end a line elsewhere, but not in an event stream, cut the text of a result."""
+"""One spoiled byte in the head of a response leaves an item of a batch job unserved for ever."""
 
 import asyncio
 import sys
@@ -10,6 +10,7 @@
     TROUBLE,
     Deployment,
     Engine,
+    Message,
     Trainer,
     Worker,
     engine_service,
@@ -21,18 +22,43 @@
 
 GATEWAYS = 3
 ENGINES = 3
-GROUPS = 3
+JOBS = 5
+GROUPS = 13
+# Dose of `garble` in the site file: share 0.35, x 0.02, for_s 5.5.
+SPOILED_SHARE = 0.02
+SPOILED_S = 2.5
+# After the last spoiled response all machines are in touch again within `contactMs`.
+CONTACT_S = 3.0
 TIME_LIMIT_S = 12.0
-# U+2028 separates lines in text, U+0085 is "next line". In an event stream only CR and LF end one.
-PIECES = ("amber\u2028blue", "gel 201\u0085cue 7") if TROUBLE else ("amber blue", "gel 201 cue 7")
+AT_NO_WORKER_S = 5.0
 
 
-class TextEngine(Engine):
-    """Generates text with line separators of Unicode."""
+class SpoilingEngine(Engine):
+    """Spoils one byte of the head of a share of its responses, and breaks these off."""
 
-    def event(self, attempt: str, number: int) -> str:
-        """Return the data of an event."""
-        return f"{super().event(attempt, number)} {PIECES[number % len(PIECES)]}"
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.spoils_until = 0.0
+        self.answers = 0
+        self.spoiled: list[str] = []
+
+    async def run(self, request: Message, reader, writer) -> bool:
+        """Send the events of a request, or a spoiled head and no more."""
+        if self.record.now() >= self.spoils_until:
+            return await super().run(request, reader, writer)
+        self.answers += 1
+        if len(self.spoiled) + 1 > SPOILED_SHARE * self.answers:
+            return await super().run(request, reader, writer)
+        attempt = request.fields["x-attempt-id"]
+        self.spoiled.append(attempt)
+        self.record.add(f"{self.name} spoils its response to {attempt}, number {self.answers}")
+        head = self.stream_head(request)
+        # One bit of one byte: the version "2" turns into 0xB2.
+        place = head.index(b"X-Weight-Versions: ") + len(b"X-Weight-Versions: ")
+        writer.write(head[:place] + bytes([head[place] | 0x80]) + head[place + 1 :])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        return False
 
 
 async def case(deployment: Deployment) -> list[str]:
@@ -40,9 +66,12 @@
     record, store = deployment.record, deployment.store
     desk = Worker("i-desk0", "order-desk", store, record, slots=24)
     engines = [
-        TextEngine(f"i-llm{number}", "palette-llm", store, record) for number in range(ENGINES)
+        SpoilingEngine(f"i-llm{number}", "palette-llm", store, record) for number in range(ENGINES)
     ]
+    # A trainer has named version 2 before, and the engines have it.
+    store.put("versions", "m0", spec={"model": "m0", "version": 2})
     for worker in (desk, *engines):
+        worker.version = 2
         await worker.listen()
         worker.enlist()
         deployment.workers.append(worker)
@@ -54,24 +83,36 @@
     await deployment.start_gateways(GATEWAYS)
     await asyncio.sleep(2.0)
 
-    trainer = Trainer(deployment.gateways[0], record, GROUPS, "/stock/score")
-    status = await trainer.submit("/rollout/new")
-    if status != 202:
-        raise RuntimeError(f"the batch job was answered {status}")
-    await trainer.read_until(record.now() + TIME_LIMIT_S)
-    await trainer.end()
+    began = record.now()
+    if TROUBLE:
+        engines[0].spoils_until = began + SPOILED_S
+    trainers = [
+        Trainer(deployment.gateways[number % GATEWAYS], record, GROUPS, "/stock/score")
+        for number in range(JOBS)
+    ]
+    statuses = await asyncio.gather(*(trainer.submit("/rollout/new") for trainer in trainers))
+    if any(status != 202 for status in statuses):
+        raise RuntimeError(f"batch jobs were answered {statuses}")
+    limit = began + TIME_LIMIT_S
+    await asyncio.gather(*(trainer.read_until(limit) for trainer in trainers))
+    record.add("the trainers' time limit" if record.now() >= limit else "all results are read")
 
     breaches = []
-    for item, result in trainer.results.items():
-        whole = engines[0].text(item)
-        record.add(f"result of {item}: {len(result['text'])} of {len(whole)} characters")
-        if result["state"] == "completed" and result["text"] != whole:
-            breaches.append(
-                f"MIXED: the text of {item} is completed with {len(result['text'])} of"
-                f" {len(whole)} characters: {result['text'][:40]!r} for {whole[:40]!r}"
-            )
-    if not trainer.results:
-        raise RuntimeError("no result was read")
+    steady_from = began + SPOILED_S + CONTACT_S
+    for trainer in trainers:
+        for item in trainer.items:
+            if item in trainer.results or any(item in engine.finished for engine in engines):
+                continue
+            runs = [at for engine in engines for at, attempt, _ in engine.runs if attempt == item]
+            last = max(runs, default=began)
+            if limit - max(last, steady_from) > AT_NO_WORKER_S:
+                breaches.append(
+                    f"LOST: the step {trainer.lot} ran out of time; its item {item} was last at a"
+                    f" worker {limit - last:.1f} s before, and no worker has finished it"
+                )
+    await asyncio.gather(*(trainer.end() for trainer in trainers))
+    for engine in engines:
+        record.add(f"{engine.name}: {len(engine.spoiled)} of {engine.answers} responses spoiled")
     return breaches
 
 
