--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,7 +39,7 @@
 EVENT_BYTES = 60_000
 # Half of the link of a gateway, which has 1,000 Mbit/s.
 BYTES_PER_S = 62_500_000
-PLAY_S = 12.0
+PLAY_S = 25.0
 MEMORY_CHECK_S = 0.05
 RESTART_S = 0.5
 ALLOWED = 3
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,8 +26,8 @@
 GROUPS = 13
 # Dose of `garble` in the site file: share 0.35, x 0.02, for_s 5.5.
 SPOILED_SHARE = 0.02
-SPOILED_S = 2.5
-# After the last spoiled response all machines are in touch again within `contactMs`.
+SPOILED_S = 3.5
+# Steady state is counted from this long after the last spoiled response (`contactMs`).
 CONTACT_S = 3.0
 TIME_LIMIT_S = 12.0
 AT_NO_WORKER_S = 5.0
@@ -41,6 +41,7 @@
         self.spoils_until = 0.0
         self.answers = 0
         self.spoiled: list[str] = []
+        self.spoiled_at = 0.0
 
     async def run(self, request: Message, reader, writer) -> bool:
         """Send the events of a request, or a spoiled head and no more."""
@@ -51,6 +52,7 @@
             return await super().run(request, reader, writer)
         attempt = request.fields["x-attempt-id"]
         self.spoiled.append(attempt)
+        self.spoiled_at = self.record.now()
         self.record.add(f"{self.name} spoils its response to {attempt}, number {self.answers}")
         head = self.stream_head(request)
         # One bit of one byte: the version "2" turns into 0xB2.
@@ -98,7 +100,7 @@
     record.add("the trainers' time limit" if record.now() >= limit else "all results are read")
 
     breaches = []
-    steady_from = began + SPOILED_S + CONTACT_S
+    steady_from = max(engines[0].spoiled_at, began) + CONTACT_S
     for trainer in trainers:
         for item in trainer.items:
             if item in trainer.results or any(item in engine.finished for engine in engines):
