--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,9 +28,10 @@
 FAULTY_WORKERS = 1
 FAULTY_SHARE = 0.03
 FAULTY_S = 5.0
-WORK_S = 0.0375
+# The workers differ in speed; the fastest one is chosen first.
+WORK_S = (0.02, 0.05, 0.05)
 # The workers also serve other callers, who take all their places for a moment again and again.
-ROUND_S = 0.09
+ROUND_S = 0.1
 OCCUPIED_S = 0.02
 
 
@@ -71,7 +72,7 @@
     record = deployment.record
     for number in range(WORKERS):
         worker = FaultyWorker(f"i-desk{number}", "order-desk", deployment.store, record)
-        worker.work_s = WORK_S
+        worker.work_s = WORK_S[number]
         await worker.listen()
         worker.enlist()
         deployment.workers.append(worker)
