Take an item up again after an error that nobody expected

Cause: 0xB2 is the superscript two, for which str.isdigit() is true and int() raises ValueError. The error ended the task of the run, and the item stayed in the phase RUNNING, since run_once handled only the errors that it expected. The log said 'ValueError', and nothing started the item again.

An unexpected error ends one item run, score, write of results, start of a lot, attempt, stream, order, ping or callback; it is logged with its place and counted, and the work is taken up again.

--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmericreach.http1 import ResponseIncomplete
+from turmericreach.http1 import ResponseIncomplete, read_number
 
 __all__ = ["EventParser", "StreamEvent"]
 
@@ -87,8 +87,9 @@
         found = True
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
-            event_id = int(value)
+        number = read_number(value) if name == "id" else None
+        if number is not None:
+            event_id = number
         elif name == "data":
             data.append(value)
         else:
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -52,6 +52,8 @@
         The version of the weights is too old, or differs from that of the text so far.
     MOVED
         The run was cancelled to continue at another engine.
+    UNEXPECTED
+        An error that nobody expected ended the run.
     """
 
     COMPLETE = "whole"
@@ -63,6 +65,7 @@
     IMPOSSIBLE = "impossible"
     OLD_VERSION = "old version"
     MOVED = "moved"
+    UNEXPECTED = "unexpected"
 
 
 @attrs.frozen
@@ -130,7 +133,7 @@
     run = ItemRun(item, progress, target, constraints, connection, directory)
     try:
         report = await run.execute()
-    except asyncio.CancelledError:
+    except BaseException:
         connection.close()
         raise
     if connection.complete:
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -22,6 +22,7 @@
 from turmericreach.services import Configuration
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["BatchRegistry"]
 
@@ -29,6 +30,8 @@
 MAX_CACHED_PROGRESS = 512
 START_RETRY_S = 0.2
 OBJECT_DELAY_S = 0.05
+# Pause after an unexpected error, which may come again at once.
+UNEXPECTED_PAUSE_S = 0.5
 
 
 class BatchRegistry:
@@ -192,10 +195,18 @@
             del self.starting[lot]
         if task.cancelled() or task.exception() is None:
             return
-        error = task.exception()
-        log_event(
-            events.TASK_FAILED, task=f"start of {lot}", error=f"{type(error).__name__}: {error}"
-        )
+        log_unexpected("start of a lot", lot, task.exception())
+        asyncio.get_running_loop().call_later(UNEXPECTED_PAUSE_S, self.start_again, lot)
+
+    def start_again(self, lot: str) -> None:
+        """Start a lot again whose start an unexpected error has ended."""
+        record = self.records.get(lot)
+        run = self.scheduler.runs.get(lot)
+        if run is not None and not run.loaded:
+            del self.scheduler.runs[lot]
+            run.stop("the start failed")
+        if record is not None:
+            self.reconcile(record)
 
     async def read_with_object(self, lot: str) -> BatchRecord | None:
         """Return a record with its object, or None if the lot should no longer run here."""
--- a/turmericreach/batches/result_writer.py
+++ b/turmericreach/batches/result_writer.py
@@ -82,8 +82,14 @@
                 continue
             await self.wait_for_group()
             results, self.ready = self.ready, []
-            for part in self.log.split(results):
-                await self.write(part)
+            try:
+                for part in self.log.split(results):
+                    await self.write(part)
+            except Exception:
+                # The log skips those of them that it has listed already.
+                self.ready = results + self.ready
+                self.ready_changed.set()
+                raise
 
     async def wait_for_group(self) -> None:
         """Wait until a group is complete or the oldest result has waited long enough."""
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -15,6 +15,7 @@
 from turmericreach.services import Target, TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["BatchRun"]
 
@@ -26,6 +27,8 @@
 LOST_RESPONSE_PAUSE_S = 0.5
 SUSPECT_S = 3.0
 LOAD_RETRY_S = 0.2
+# Pause after an unexpected error, which may come again at once.
+UNEXPECTED_PAUSE_S = 0.5
 
 
 class BatchRun:
@@ -204,7 +207,7 @@
             begun_with=begun_with,
             leaving_s=self.directory.leaving_s(target, state.started_at),
         )
-        state.task = self.spawn(self.run_once(state, target))
+        state.task = self.spawn_for(state, self.run_once(state, target))
 
     async def run_once(self, state: ItemState, target: Target) -> None:
         """Run an item once and apply the outcome."""
@@ -225,6 +228,9 @@
             if self.stopped or state.move_to is None:
                 raise
             report = RunReport(ItemOutcome.MOVED, f"to {state.move_to.id}")
+        except Exception as error:
+            log_unexpected("item run", state.item.id, error)
+            report = RunReport(ItemOutcome.UNEXPECTED, type(error).__name__)
         finally:
             target.in_flight -= 1
             state.end_run()
@@ -285,7 +291,7 @@
         if state.item.scorer is None or state.progress.score:
             self.complete(state)
             return
-        self.spawn(self.score(state))
+        self.spawn_for(state, self.score(state))
 
     async def score(self, state: ItemState) -> None:
         """Request the score of an item; abandon the item if its scorer fails."""
@@ -329,8 +335,14 @@
         )
 
     async def write_results(self) -> None:
-        """Write results until all items are listed."""
-        await self.writer.run()
+        """Write results until all items are listed, again after an unexpected error."""
+        while True:
+            try:
+                await self.writer.run()
+                break
+            except Exception as error:
+                log_unexpected("result writer", self.spec.id, error)
+                await asyncio.sleep(UNEXPECTED_PAUSE_S)
         log_event(
             events.BATCH_FINISHED,
             lot=self.spec.id,
@@ -355,12 +367,33 @@
         task.add_done_callback(self.on_task_done)
         return task
 
+    def spawn_for(self, state: ItemState, coroutine) -> asyncio.Task:
+        """Start a task of an item; the item is taken up again if an unexpected error ends it."""
+        task = self.spawn(coroutine)
+        task.add_done_callback(lambda done: self.resume_after_error(state, done))
+        return task
+
+    def resume_after_error(self, state: ItemState, task: asyncio.Task) -> None:
+        """Take an item up again after a pause if an unexpected error has ended its task."""
+        if self.stopped or task.cancelled() or task.exception() is None:
+            return
+        if state.phase is ItemPhase.SCORING:
+            self.loop.call_later(UNEXPECTED_PAUSE_S, self.score_again, state)
+            return
+        if state.phase is not ItemPhase.RUNNING:
+            return
+        state.phase = ItemPhase.WAITING
+        state.waiting_since = self.loop.time()
+        state.not_before = state.waiting_since + UNEXPECTED_PAUSE_S
+        self.on_wake()
+
+    def score_again(self, state: ItemState) -> None:
+        """Request the score of an item again after an unexpected error."""
+        if not self.stopped and state.phase is ItemPhase.SCORING:
+            self.spawn_for(state, self.score(state))
+
     def on_task_done(self, task: asyncio.Task) -> None:
         """Remove a finished task and log its failure."""
         self.tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        error = task.exception()
-        log_event(
-            events.TASK_FAILED, task=f"lot {self.spec.id}", error=f"{type(error).__name__}: {error}"
-        )
+        if not task.cancelled() and task.exception() is not None:
+            log_unexpected("lot", self.spec.id, task.exception())
--- a/turmericreach/batches/supervisor.py
+++ b/turmericreach/batches/supervisor.py
@@ -10,6 +10,7 @@
 from turmericreach.metadata import MetadataError, StoredObject
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["LotSupervisor"]
 
@@ -113,9 +114,12 @@
         for record in list(self.registry.records.values()):
             if record.ended or record.object is None or record.owner in writers:
                 continue
-            successor = self.peers.owner_for(owner_subject(record.model))
-            if successor is not None:
-                await self.assign(record, successor)
+            try:
+                successor = self.peers.owner_for(owner_subject(record.model))
+                if successor is not None:
+                    await self.assign(record, successor)
+            except Exception as error:
+                log_unexpected("reassignment", record.lot, error)
 
     async def assign(self, record: BatchRecord, successor: str) -> None:
         """Assign a lot to a host by a conditional write."""
@@ -151,3 +155,5 @@
             except MetadataError as error:
                 log_event(events.BATCH_LEFT, lot=record.lot, reason=f"not removed: {error}")
                 return
+            except Exception as error:
+                log_unexpected("removal of a lot", record.lot, error)
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -22,6 +22,7 @@
 from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["PeerTable"]
 
@@ -323,11 +324,18 @@
                 if now - peer.last_ping_at < self.ping_interval_s(peer.host):
                     continue
                 peer.last_ping_at = now
-                task = loop.create_task(self.ping(peer))
+                task = loop.create_task(self.try_ping(peer))
                 self.pings.add(task)
                 task.add_done_callback(self.pings.discard)
             await asyncio.sleep(PING_TICK_S)
 
+    async def try_ping(self, peer: Peer) -> None:
+        """Ping a peer; an unexpected error ends this ping alone."""
+        try:
+            await self.ping(peer)
+        except Exception as error:
+            log_unexpected("ping", peer.host, error)
+
     async def ping(self, peer: Peer) -> None:
         """Request the status of a peer and record it."""
         loop = asyncio.get_running_loop()
--- a/turmericreach/http1/__init__.py
+++ b/turmericreach/http1/__init__.py
@@ -10,6 +10,7 @@
 from turmericreach.http1.exchange import Request, Responder
 from turmericreach.http1.headers import Headers, query_value, split_target
 from turmericreach.http1.limits import BUFFER_MEMORY_SHARE, BufferBudget, ResponseLimits
+from turmericreach.http1.numbers import read_number
 from turmericreach.http1.pool import ConnectionPool
 from turmericreach.http1.server import HttpServer, ServerLimits
 
@@ -29,5 +30,6 @@
     "ServerLimits",
     "connect",
     "query_value",
+    "read_number",
     "split_target",
 ]
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -9,6 +9,7 @@
 
 from turmericreach.http1.headers import Headers, encode_headers
 from turmericreach.http1.limits import BufferBudget, FramingCount, ResponseLimits
+from turmericreach.http1.numbers import read_number
 from turmericreach.http1.sockets import set_socket_options
 from turmericreach.verdicts import TurmericreachError
 
@@ -362,9 +363,10 @@
         """Set the longest idle time to what the server announces, less a margin."""
         for token in headers.tokens("keep-alive"):
             name, _, value = token.partition("=")
-            if name != "timeout" or not value.isdigit():
+            seconds = read_number(value) if name == "timeout" else None
+            if seconds is None:
                 continue
-            self.max_idle_s = max(float(value) - IDLE_MARGIN_S, 0.0)
+            self.max_idle_s = max(seconds - IDLE_MARGIN_S, 0.0)
 
     def finish(self) -> None:
         """Mark the response as complete."""
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -10,6 +10,7 @@
 from turmericreach.http1.exchange import Request, Responder, reason
 from turmericreach.http1.headers import Headers, encode_headers
 from turmericreach.http1.limits import FramingCount
+from turmericreach.http1.numbers import read_number
 from turmericreach.http1.sockets import set_socket_options
 from turmericreach.telemetry import events, log_event
 
@@ -174,8 +175,7 @@
         if self.rejected:
             return
         headers = Headers(self.fields)
-        length = headers.get("content-length")
-        announced = int(length) if length is not None and length.isdigit() else 0
+        announced = read_number(headers.get("content-length")) or 0
         if announced > self.server.limits.body_bytes:
             self.reject(413)
             return
--- a/turmericreach/httpserver/body.py
+++ b/turmericreach/httpserver/body.py
@@ -5,6 +5,7 @@
 import msgspec
 from blacksheep import Request
 
+from turmericreach.http1 import read_number
 from turmericreach.httpserver.disconnect import on_request_end
 from turmericreach.verdicts import ErrorCode, RequestError
 
@@ -63,7 +64,7 @@
         With `BODY_TOO_LARGE`, `TIMEOUT` or `OVERLOADED`; the request did not run.
     """
     declared = request.get_first_header(b"content-length")
-    if declared is not None and declared.isdigit() and int(declared) > max_bytes:
+    if declared is not None and (read_number(declared.decode("latin-1")) or 0) > max_bytes:
         raise too_large(max_bytes)
     parts = []
     size = 0
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -14,6 +14,7 @@
 from turmericreach.platform import targets as wire
 from turmericreach.services import RouteKind, Target, TargetDirectory
 from turmericreach.sharing import CrashTable, PermitSource
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["Forwarder"]
 
@@ -237,6 +238,9 @@
                 return AttemptResult(head, body)
             except (ConnectFailed, ResponseIncomplete) as error:
                 return AttemptResult(None, b"", attempt.record_failure(error))
+            except Exception as error:
+                log_unexpected("attempt", target.id, error)
+                return AttemptResult(None, b"", attempt.record_failure(error))
 
     def check_response(self, exchange: Exchange, result: AttemptResult) -> AttemptResult:
         """Return the result, without its response if another target should get the request."""
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -58,6 +58,7 @@
 from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_loop_error
 from turmericreach.versions.converger import VersionConverger
 
 __all__ = ["Gateway"]
@@ -297,6 +298,7 @@
             If an address in the settings cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(log_loop_error)
         self.ready_check.started_at = loop.time()
         log_event(
             events.NODE_STARTED,
--- a/turmericreach/node/peer_api.py
+++ b/turmericreach/node/peer_api.py
@@ -23,7 +23,7 @@
     STREAMS_PATH,
     StreamOrigins,
 )
-from turmericreach.http1 import Request, Responder, query_value
+from turmericreach.http1 import Request, Responder, query_value, read_number
 from turmericreach.metadata import HistoryGone, KindMirror
 from turmericreach.node.caller_api import CallerApi
 from turmericreach.versions.converger import VersionConverger
@@ -94,12 +94,12 @@
         process has no current copy of the kind.
         """
         mirror = self.mirrors.get(query_value(request.query, "kind") or "")
-        after = query_value(request.query, "after") or ""
-        if mirror is None or not after.isdigit():
+        after = read_number(query_value(request.query, "after"))
+        if mirror is None or after is None:
             responder.send(404)
             return
         try:
-            page = await serve_watch(mirror, self.peers.client, int(after))
+            page = await serve_watch(mirror, self.peers.client, after)
         except HistoryGone:
             responder.send(410)
             return
@@ -152,12 +152,12 @@
 
     async def send_shared_state(self, request: Request, responder: Responder) -> None:
         """Send what this process has learned of targets and requests after a revision."""
-        after = query_value(request.query, "after") or ""
-        if not after.isdigit():
+        after = read_number(query_value(request.query, "after"))
+        if after is None:
             responder.send(400)
             return
         observed_only = query_value(request.query, "observed") == "1"
-        send_message(responder, self.shared_state.state_after(int(after), observed_only))
+        send_message(responder, self.shared_state.state_after(after, observed_only))
 
 
 def send_message(responder: Responder, message: Any) -> None:
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -11,6 +11,7 @@
 from turmericreach.services import Target
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["StreamForwarder"]
 
@@ -129,6 +130,10 @@
             except (ConnectFailed, ResponseIncomplete) as error:
                 attempt.record_failure(error)
                 return False, exchange.forwarded_event_id
+            except Exception as error:
+                log_unexpected("stream", target.id, error)
+                attempt.record_failure(error)
+                return False, exchange.forwarded_event_id
 
     async def forward_failure(
         self, exchange: Exchange, attempt: TargetAttempt, head: ResponseHead
--- a/turmericreach/objectstore/http.py
+++ b/turmericreach/objectstore/http.py
@@ -6,6 +6,7 @@
 import aiohttp
 import yarl
 
+from turmericreach.http1 import read_number
 from turmericreach.httpclient import ResponseTooLarge, open_session, read_response, retry_after_s
 from turmericreach.objectstore import wire
 from turmericreach.objectstore.budget import CallBudget
@@ -218,7 +219,7 @@
 
 def revision_of(response: aiohttp.ClientResponse) -> int:
     """Return the global revision of a response, 0 if it has none."""
-    return wire.read_number(header(response, "Turmericreach-Revision")) or 0
+    return read_number(header(response, "Turmericreach-Revision")) or 0
 
 
 def check_status(response: aiohttp.ClientResponse) -> None:
--- a/turmericreach/objectstore/wire.py
+++ b/turmericreach/objectstore/wire.py
@@ -3,6 +3,7 @@
 import attrs
 import msgspec
 
+from turmericreach.http1 import read_number
 from turmericreach.objectstore.errors import Unavailable
 from turmericreach.objectstore.protocol import (
     EventType,
@@ -13,10 +14,7 @@
     WatchResult,
 )
 
-__all__ = ["etag", "read_etag", "read_hosts", "read_listing", "read_number", "read_watch"]
-
-# Larger numbers do not fit 64 bits.
-MAX_DIGITS = 19
+__all__ = ["etag", "read_etag", "read_hosts", "read_listing", "read_watch"]
 
 
 @attrs.frozen
@@ -73,13 +71,6 @@
     return read_number(text.removeprefix('"').removesuffix('"'))
 
 
-def read_number(text: str) -> int | None:
-    """Return a decimal number of a header, None if it is malformed or too large."""
-    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
-        return None
-    return int(text)
-
-
 def read_listing(kind: str, body: bytes) -> Listing:
     """Return the listing in a response body."""
     response = decode(body, ListBody)
--- a/turmericreach/platform/lots.py
+++ b/turmericreach/platform/lots.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from turmericreach.batches.model import BatchItem, BatchSpec, ItemResult, Scorer
-from turmericreach.http1 import query_value
+from turmericreach.http1 import query_value, read_number
 from turmericreach.platform.decoding import DecodeError, Fields
 from turmericreach.platform.names import ITEMS_PATH, LENGTH_HINT, LOTS_PATH, TOKEN_COUNTS, WAIT_MS
 
@@ -26,6 +26,8 @@
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 PATH = re.compile(r"/[\x21-\x7e]*")
 LOT_ID = re.compile(r"[A-Za-z0-9_-]{1,128}")
+# Characters of a malformed value that an error shows.
+MAX_SHOWN_CHARS = 100
 # Longest time that a read of results waits for one.
 MAX_WAIT_S = 5.0
 
@@ -48,9 +50,10 @@
 def read_position(query: str) -> int:
     """Return the position of the first result that a read requests."""
     text = query_value(query, "after") or "0"
-    if not text.isdigit():
-        raise DecodeError(f"after: unexpected {text!r}")
-    return int(text)
+    position = read_number(text)
+    if position is None:
+        raise DecodeError(f"after: unexpected {text[:MAX_SHOWN_CHARS]!r}")
+    return position
 
 
 def read_wait_s(headers) -> float:
@@ -154,7 +157,7 @@
         return max(float(hint), 1.0)
     except ValueError:
         counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
-        return float(counts[-1]) if counts[-1].strip().isdigit() else 1.0
+        return float(read_number(counts[-1].strip()) or 1.0)
 
 
 def encode_results(total: int, after: int, results: list[ItemResult]) -> bytes:
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from turmericreach.http1 import Headers
+from turmericreach.http1 import Headers, read_number
 from turmericreach.platform.decoding import Fields, decode_json
 from turmericreach.platform.names import (
     ATTEMPT_ID,
@@ -136,11 +136,10 @@
 def attempt_head(headers: Headers) -> AttemptHead:
     """Return the header fields of a request that concern its attempt."""
     deadline_ms = headers.number(DEADLINE_MS)
-    last = headers.get(LAST_EVENT_ID)
     return AttemptHead(
         id=headers.get(ATTEMPT_ID, ""),
         timeout_s=None if deadline_ms is None else deadline_ms / 1000,
-        last_event_id=int(last) if last is not None and last.isdigit() else None,
+        last_event_id=read_number(headers.get(LAST_EVENT_ID)),
         caller=headers.get(AUTHORIZATION, ""),
         resumes=headers.get(RESUMES, ""),
     )
@@ -268,12 +267,11 @@
 
 def read_response_head(status: int, headers: Headers) -> TargetResponseHead:
     """Return the decoded head of a response of a target."""
-    version = headers.get(WEIGHT_VERSIONS, "")
     return TargetResponseHead(
         status=status,
         not_run=headers.get(NOT_EXECUTED) is not None or status == 421,
         stamp=headers.get(SERVER_STAMP, ""),
-        weight_version=int(version) if version.isdigit() else None,
+        weight_version=read_number(headers.get(WEIGHT_VERSIONS)),
         load=parse_load(headers.get(SERVER_LOAD)),
         limit_per_s=parse_rate(headers.get(SERVER_LIMIT)),
         # A response with status 421 is that of another target, which has the address now.
@@ -285,18 +283,17 @@
     """Return the three numbers of a load field, or None if it is missing or malformed."""
     if text is None:
         return None
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    numbers = [read_number(part.strip()) for part in text.split(",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return int(parts[0]), int(parts[1]), int(parts[2])
+    return numbers[0], numbers[1], numbers[2]
 
 
 def version_of_line(line: str) -> int | None:
     """Return the weight version that a line of an event stream states, or None for other lines."""
     if not line.lower().startswith(WEIGHT_VERSIONS_LINE):
         return None
-    text = line[len(WEIGHT_VERSIONS_LINE) :].strip()
-    return int(text) if text.isdigit() else None
+    return read_number(line[len(WEIGHT_VERSIONS_LINE) :].strip())
 
 
 def retry_after_fields(retry_after_s: float | None) -> list[tuple[str, str]]:
--- a/turmericreach/targets/openai.py
+++ b/turmericreach/targets/openai.py
@@ -325,7 +325,7 @@
     try:
         fields = json.loads(raw)
         return int(fields.get("fencing", 0))
-    except (ValueError, AttributeError, TypeError):
+    except (ValueError, AttributeError, TypeError, OverflowError, RecursionError):
         return 0
 
 
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -91,6 +91,14 @@
     "{task} failed and is restarted: {error}",
     "Report the event and its fields as a bug.",
 )
+UNEXPECTED_ERROR = Event(
+    "TR2113",
+    "unexpected_error",
+    Level.ERROR,
+    "{part} {subject} ended by an unexpected error: {error}",
+    "Report the event and its fields as a bug; what was ended is taken up again.",
+    extra=("at",),
+)
 
 # Metadata store
 
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -85,6 +85,13 @@
 DEPENDENCY_LOSSES = Metric(
     "node_dependency_losses", COUNTER, "losses", "Times the store was unavailable."
 )
+UNEXPECTED_ERRORS = Metric(
+    "node_unexpected_errors",
+    COUNTER,
+    "errors",
+    "Unexpected errors by the part of the process in which they ended one piece of work.",
+    ("part",),
+)
 LOG_EVENTS = Metric("node_log_events", COUNTER, "events", "Log events by level.", ("level",))
 
 STORE_CALLS = Metric(
@@ -253,6 +260,16 @@
     metrics.count(DEPENDENCY_LOSSES)
 
 
+def count_unexpected_error(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count an unexpected error by the part of the process."""
+    metrics.count(UNEXPECTED_ERRORS, part=fields["part"])
+
+
+def count_failed_task(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count a background task that an unexpected error has ended."""
+    metrics.count(UNEXPECTED_ERRORS, part=fields["task"])
+
+
 UPDATE_BY_EVENT_CODE: dict[str, MetricUpdate] = {
     events.REQUEST_ENDED.code: count_request,
     events.REQUEST_FAILED.code: count_request,
@@ -272,6 +289,8 @@
     events.TARGET_CRASHED.code: count_crash,
     events.TARGET_LIMIT_NAMED.code: count_limit,
     events.DEPENDENCY_LOST.code: count_dependency_loss,
+    events.UNEXPECTED_ERROR.code: count_unexpected_error,
+    events.TASK_FAILED.code: count_failed_task,
 }
 
 
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -17,6 +17,7 @@
 from turmericreach.services import Configuration, Target, TargetDirectory
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.telemetry.unexpected import log_unexpected
 from turmericreach.versions.planner import (
     EngineView,
     LoadOrder,
@@ -163,7 +164,7 @@
         if token is None:
             return
         await asyncio.gather(
-            *(self.send_order(order, targets[order.target], token) for order in orders)
+            *(self.try_order(order, targets[order.target], token) for order in orders)
         )
 
     def engine_targets(self) -> dict[str, Target]:
@@ -241,6 +242,14 @@
         tokens_per_event = max(service.engine.tokens_per_event, 1.0)
         return per_s * tokens_per_item(self.arrivals.values()) / tokens_per_event
 
+    async def try_order(self, order: LoadOrder, target: Target, token: int) -> None:
+        """Send one order; an unexpected error ends this order alone, and it is sent again later."""
+        try:
+            await self.send_order(order, target, token)
+        except Exception as error:
+            log_unexpected("order", target.id, error)
+            self.orders_accepted.pop(target.id, None)
+
     async def send_order(self, order: LoadOrder, target: Target, token: int) -> None:
         """Send one order, record its outcome and log it.
 
