Split the lines of events only where the format ends them

Cause: parse_event used str.splitlines(); only CR LF, LF and CR end a line of an event stream. The same page of the format was missed for the end of an event (CR alone, mixed ends), for the byte order mark, and for bytes that are no UTF-8, which a result listed as replacement characters.

--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -10,8 +10,12 @@
 
 # An event holds the text of a few tokens and an id.
 MAX_EVENT_BYTES = 65_536
-# Ends an event. Further line breaks belong to the separator, so that a run of them is one match.
-SEPARATOR = re.compile(rb"(?:\r\n\r\n|\n\n)[\r\n]*")
+# CR LF, LF and CR end a line, and nothing else does: `str.splitlines` also splits at U+0085, U+2028
+# and other characters that are part of a text.
+LINE_END = re.compile(rb"\r\n|\n|\r")
+# Ends an event. Further line ends belong to the separator, so that a run of them is one match.
+SEPARATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2,}")
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 @attrs.frozen
@@ -28,12 +32,15 @@
         Lines that are neither a ``data`` field nor a numeric ``id`` field, including comments.
     raw : bytes
         Bytes of the event as received, including the blank line at its end.
+    valid : bool
+        Whether the bytes are valid UTF-8; if not, `data` holds replacement characters.
     """
 
     id: int | None
     data: str
     other_lines: list[str]
     raw: bytes
+    valid: bool = True
 
 
 class EventParser:
@@ -48,11 +55,14 @@
     ----------
     rest : bytes
         Bytes received after the last complete event.
+    started : bool
+        Whether a part of the stream has been parsed; a byte order mark may only stand before it.
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES):
         self.max_event_bytes = max_event_bytes
         self.rest = b""
+        self.started = False
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes to the buffer and return the events that they complete.
@@ -68,7 +78,8 @@
         for separator in SEPARATOR.finditer(buffer):
             raw = buffer[start : separator.end()]
             start = separator.end()
-            event = parse_event(raw)
+            event = parse_event(raw, at_start=not self.started)
+            self.started = True
             if event is not None:
                 events.append(event)
         self.rest = buffer[start:]
@@ -77,14 +88,26 @@
         return events
 
 
-def parse_event(raw: bytes) -> StreamEvent | None:
-    """Parse the lines of one event; return None if there are none."""
+def parse_event(raw: bytes, at_start: bool = False) -> StreamEvent | None:
+    """Parse the lines of one event; return None if there are none.
+
+    Parameters
+    ----------
+    raw : bytes
+        Bytes of the event.
+    at_start : bool
+        Whether the event is the first one of its stream, which a byte order mark may precede.
+    """
     event_id, data, other = None, [], []
-    found = False
-    for line in raw.decode("utf-8", "replace").splitlines():
-        if not line:
+    found, valid = False, True
+    for encoded in LINE_END.split(raw.removeprefix(BYTE_ORDER_MARK) if at_start else raw):
+        if not encoded:
             continue
         found = True
+        try:
+            line = encoded.decode()
+        except UnicodeDecodeError:
+            line, valid = encoded.decode("utf-8", "replace"), False
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         number = read_number(value) if name == "id" else None
@@ -94,4 +117,4 @@
             data.append(value)
         else:
             other.append(line)
-    return StreamEvent(event_id, "\n".join(data), other, raw) if found else None
+    return StreamEvent(event_id, "\n".join(data), other, raw, valid) if found else None
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -264,6 +264,8 @@
                 for line in event.other_lines:
                     version = wire.version_of_line(line) or version
                 last_id = self.progress.last_event_id
+                if not event.valid:
+                    return RunReport(ItemOutcome.INTERRUPTED, "an event is not valid UTF-8")
                 if not follows(last_id, event.id):
                     return RunReport(ItemOutcome.INTERRUPTED, f"event {event.id} after {last_id}")
                 if self.clear_on_version_change(version):
