Bound the texts of items in bytes, each and all together

Cause: the text of an item was bounded by the number of its events only. The memory for bodies does not cover what a progress keeps.

A run that ends after its item was listed changes nothing.

--- a/turmericreach/batches/calls.py
+++ b/turmericreach/batches/calls.py
@@ -7,9 +7,11 @@
 
 import attrs
 
+from turmericreach.batches.log import RESULT_OVERHEAD_BYTES
 from turmericreach.batches.model import ItemResult
 from turmericreach.batches.records import BatchRecord, new_record_spec
 from turmericreach.batches.registry import BatchRegistry
+from turmericreach.batches.text_memory import encoded_bytes
 from turmericreach.coordination.names import LOTS_KIND
 from turmericreach.metadata import Conflict, MetadataClient, MetadataError, OutcomeUnknown
 from turmericreach.platform.decoding import DecodeError
@@ -201,7 +203,7 @@
     """Return the results after a position that fit in ``PAGE_BYTES``, but at least one if any."""
     page, size = [], 0
     for result in results[after:]:
-        size += len(result.text.encode()) * 2 + 200
+        size += encoded_bytes(result.text) + RESULT_OVERHEAD_BYTES
         if page and size > PAGE_BYTES:
             break
         page.append(result)
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -7,6 +7,7 @@
 
 from turmericreach.batches.event_stream import EventParser
 from turmericreach.batches.model import BatchItem, Progress
+from turmericreach.batches.text_memory import TextMemory, encoded_bytes, max_text_bytes
 from turmericreach.http1 import (
     ClientConnection,
     ConnectFailed,
@@ -119,18 +120,19 @@
     constraints: RunConstraints,
     pool: ConnectionPool,
     directory: TargetDirectory,
+    texts: TextMemory | None = None,
 ) -> RunReport:
     """Run an item at a target and add the generated events to its progress.
 
     A run resumes after the last event of the progress. Cancelling the task closes the
-    connection, and the engine then cancels the request.
+    connection, and the engine then cancels the request. `texts` bounds the memory of all texts.
     """
     try:
         connection = await pool.acquire(target.record.address)
         await verify_run(connection, target, directory)
     except ConnectFailed as error:
         return RunReport(ItemOutcome.NO_CONNECTION, str(error))
-    run = ItemRun(item, progress, target, constraints, connection, directory)
+    run = ItemRun(item, progress, target, constraints, connection, directory, texts)
     try:
         report = await run.execute()
     except BaseException:
@@ -166,6 +168,7 @@
         constraints: RunConstraints,
         connection: ClientConnection,
         directory: TargetDirectory,
+        texts: TextMemory | None = None,
     ):
         self.item = item
         self.progress = progress
@@ -173,6 +176,7 @@
         self.constraints = constraints
         self.connection = connection
         self.directory = directory
+        self.texts = texts
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.timeout = asyncio.timeout(FIRST_EVENT_TIMEOUT_S)
@@ -255,6 +259,7 @@
         """Add the events of a response to the progress."""
         parser = EventParser()
         last_at = None
+        text_bytes = sum(map(encoded_bytes, self.progress.events))
         async for chunk in self.connection.body_chunks():
             for event in parser.feed(chunk):
                 if len(self.progress.events) >= self.item.tokens > 0:
@@ -270,9 +275,15 @@
                     return RunReport(ItemOutcome.INTERRUPTED, f"event {event.id} after {last_id}")
                 if self.clear_on_version_change(version):
                     return RunReport(ItemOutcome.OLD_VERSION, f"version {version} after another")
+                text_bytes += encoded_bytes(event.data)
+                if text_bytes > max_text_bytes(self.item):
+                    self.progress.clear()
+                    return RunReport(ItemOutcome.INTERRUPTED, "text larger than its tokens")
                 self.progress.add(event.id, event.data, version, self.target.record.software)
                 self.target.record_version(self.constraints.model, version)
                 last_at = self.record_event(last_at)
+                if self.texts is not None:
+                    self.texts.add(event.data)
         if parser.rest.strip():
             return RunReport(ItemOutcome.INTERRUPTED, "stream ended inside an event")
         self.progress.whole = True
--- a/turmericreach/batches/log.py
+++ b/turmericreach/batches/log.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from turmericreach.batches.model import ItemResult
+from turmericreach.batches.text_memory import encoded_bytes
 from turmericreach.metadata import Conflict, MetadataClient
 
 __all__ = ["BatchLog", "SegmentConflict", "segment_kind"]
 
-# Below the size limit of an object in the store, with room for the envelope of the results.
+# Below the size limit of an object in the store, with room for the envelope of the results. Texts
+# count twice, or as encoded if that is more, since most of their characters need one byte in JSON.
 SEGMENT_BYTES = 600_000
 # Encoded size of a result without its text.
 RESULT_OVERHEAD_BYTES = 300
@@ -48,6 +50,8 @@
         Ids of the items of these results.
     segments : int
         Number of segments that hold these results.
+    text_bytes : int
+        Encoded size of the texts of these results.
     """
 
     def __init__(self, client: MetadataClient, lot: str, writer: str):
@@ -57,6 +61,7 @@
         self.results: list[ItemResult] = []
         self.listed: set[str] = set()
         self.segments = 0
+        self.text_bytes = 0
 
     async def load(self) -> None:
         """Read all segments and add the unknown ones.
@@ -135,6 +140,7 @@
         for value in spec["results"]:
             result = msgspec.convert(value, ItemResult)
             self.results.append(result)
+            self.text_bytes += encoded_bytes(result.text)
             self.listed.add(result.item)
         self.segments += 1
 
@@ -142,7 +148,8 @@
         """Split results into parts that fit into one segment each."""
         parts, size = [[]], 0
         for result in results:
-            cost = len(result.text.encode()) * 2 + RESULT_OVERHEAD_BYTES
+            cost = max(len(result.text.encode()) * 2, encoded_bytes(result.text))
+            cost += RESULT_OVERHEAD_BYTES
             if parts[-1] and size + cost > SEGMENT_BYTES:
                 parts.append([])
                 size = 0
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -2,18 +2,19 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
 from turmericreach.batches.arrivals import ModelArrival
-from turmericreach.batches.items import ItemTable
+from turmericreach.batches.items import ItemState, ItemTable
 from turmericreach.batches.log import BatchLog, segment_kind
 from turmericreach.batches.model import BatchSpec, ItemResult, Progress
 from turmericreach.batches.records import BatchRecord, read_record
 from turmericreach.batches.run import BatchRun
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.batches.scoring import ScorerCalls
+from turmericreach.batches.text_memory import TEXT_MEMORY_SHARE, TextMemory, held_bytes
 from turmericreach.coordination.names import LOTS_KIND
 from turmericreach.http1 import ConnectionPool
 from turmericreach.metadata import Conflict, MetadataClient, MetadataError, StoredObject
@@ -67,6 +68,10 @@
         Reads of lots whose ownership is in doubt.
     can_confirm_ownership : callable
         Returns whether this process can be sure that it still owns its lots.
+    text_bytes : int
+        Largest memory of the texts of unlisted items, and of the cached ones.
+    texts : TextMemory
+        Bounds the texts of the items of lots that run here.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         pool: ConnectionPool,
         scorer_calls: ScorerCalls,
         configuration: Callable[[], Configuration | None],
+        memory_bytes: int,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -95,6 +101,8 @@
         self.used_at: dict[str, float] = {}
         self.ownership_checks: set[asyncio.Task] = set()
         self.can_confirm_ownership: Callable[[], bool] = lambda: True
+        self.text_bytes = int(memory_bytes * TEXT_MEMORY_SHARE)
+        self.texts = TextMemory(self.text_bytes, self.unlisted_items)
 
     # Changes in the store
 
@@ -145,13 +153,19 @@
     def evict_unused(self, idle_s: float) -> None:
         """Evict lots that do not run here and were not used for `idle_s` seconds.
 
+        If the results of such lots exceed their memory, those used least recently are evicted too.
+
         Only the coordinator is notified when lots are removed from the store. An evicted lot that
         is requested again is read from the store.
         """
         now = asyncio.get_running_loop().time()
-        for lot, used_at in list(self.used_at.items()):
-            if now - used_at > idle_s and lot not in self.scheduler.runs:
+        idle = {lot: at for lot, at in self.used_at.items() if lot not in self.scheduler.runs}
+        held = sum(self.logs[lot].text_bytes for lot in idle if lot in self.logs)
+        for lot, used_at in sorted(idle.items(), key=lambda entry: entry[1]):
+            if now - used_at > idle_s:
                 self.remove(lot)
+            elif held > self.text_bytes and lot in self.logs:
+                held -= self.logs.pop(lot).text_bytes
 
     def reconcile(self, record: BatchRecord) -> None:
         """Start or stop a lot here according to its record."""
@@ -255,6 +269,7 @@
             scorer_calls=self.scorer_calls,
             on_wake=self.scheduler.wake,
             on_conflict=lambda: self.check_owner(spec.id),
+            texts=self.texts,
         )
 
     def carried_items(self, spec: BatchSpec) -> frozenset[str]:
@@ -304,8 +319,17 @@
     def cache_progress(self, progress: dict[str, Progress]) -> None:
         """Cache text from which a later lot, or this host as the new owner, can resume."""
         self.cached_progress.update(progress)
-        while len(self.cached_progress) > MAX_CACHED_PROGRESS:
-            del self.cached_progress[next(iter(self.cached_progress))]
+        total = sum(map(held_bytes, self.cached_progress.values()))
+        for item, text in list(self.cached_progress.items()):
+            if len(self.cached_progress) <= MAX_CACHED_PROGRESS and total <= self.text_bytes:
+                return
+            total -= held_bytes(text)
+            del self.cached_progress[item]
+
+    def unlisted_items(self) -> Iterator[ItemState]:
+        """Yield the states of the items of all lots that run here."""
+        for run in self.scheduler.runs.values():
+            yield from run.items.states.values()
 
     def get_log(self, lot: str) -> BatchLog:
         """Return the log of a lot, one per process; create it if needed."""
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -9,6 +9,7 @@
 from turmericreach.batches.model import ItemResult, Progress
 from turmericreach.batches.result_writer import ResultWriter
 from turmericreach.batches.scoring import ScorerCalls
+from turmericreach.batches.text_memory import TextMemory
 from turmericreach.http1 import ConnectionPool
 from turmericreach.metadata import MetadataError
 from turmericreach.placement import RunningItem, WaitingItem
@@ -48,6 +49,8 @@
         Known targets.
     on_wake : callable
         Called when the scheduler should plan again.
+    texts : TextMemory
+        Bounds the memory of the texts of all items of this process.
     tasks : set of asyncio.Task
         Tasks that are cancelled when the lot stops.
     loaded : bool
@@ -65,6 +68,7 @@
         scorer_calls: ScorerCalls,
         on_wake: Callable[[], None],
         on_conflict: Callable[[], None],
+        texts: TextMemory,
     ):
         self.items = items
         self.spec = items.spec
@@ -74,6 +78,7 @@
         self.pool = pool
         self.scorer_calls = scorer_calls
         self.on_wake = on_wake
+        self.texts = texts
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task] = set()
         self.writer = ResultWriter(
@@ -150,6 +155,8 @@
             state = self.items.states.get(item_id)
             if state is not None:
                 state.phase = ItemPhase.LISTED
+                # The log holds the text from now on.
+                state.progress = Progress()
 
     # Placement
 
@@ -222,7 +229,13 @@
         report = RunReport(ItemOutcome.INTERRUPTED, "stopped")
         try:
             report = await run_item(
-                state.item, state.run_text(), target, constraints, self.pool, self.directory
+                state.item,
+                state.run_text(),
+                target,
+                constraints,
+                self.pool,
+                self.directory,
+                self.texts,
             )
         except asyncio.CancelledError:
             if self.stopped or state.move_to is None:
@@ -253,10 +266,13 @@
     def apply_report(self, state: ItemState, target: Target, report: RunReport) -> None:
         """Update an item and its target after a run and decide how the item continues."""
         now = self.loop.time()
-        state.phase = ItemPhase.WAITING
-        state.waiting_since = now
         outcome = report.outcome
         move_to, state.move_to = state.move_to, None
+        if state.phase is ItemPhase.LISTED:
+            # Another process has listed the item meanwhile.
+            return
+        state.phase = ItemPhase.WAITING
+        state.waiting_since = now
         if outcome is ItemOutcome.MOVED:
             self.start_item(state.item.id, move_to)
         elif outcome is ItemOutcome.COMPLETE:
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -178,6 +178,7 @@
             self.pool,
             scorer_calls,
             lambda: self.configuration.current,
+            self.settings.memory_bytes,
         )
 
     def make_mirrors(self) -> dict[str, KindMirror]:
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -352,6 +352,13 @@
     "Check the target if this is frequent.",
     extra=("events", "versions", "first_event_ms", "software"),
 )
+ITEM_TEXT_DISCARDED = Event(
+    "TR2515",
+    "item_text_discarded",
+    Level.WARNING,
+    "the text of item {item}, {size} bytes from {target}, is discarded: all texts exceed {limit}",
+    "Check the target: its streams are longer than those of its peers.",
+)
 ITEM_SCORED = Event(
     "TR2509",
     "item_scored",
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -85,6 +85,12 @@
 DEPENDENCY_LOSSES = Metric(
     "node_dependency_losses", COUNTER, "losses", "Times the store was unavailable."
 )
+TEXTS_DISCARDED = Metric(
+    "node_item_texts_discarded",
+    COUNTER,
+    "texts",
+    "Texts of items that were discarded since all texts together exceeded their memory.",
+)
 UNEXPECTED_ERRORS = Metric(
     "node_unexpected_errors",
     COUNTER,
@@ -260,6 +266,11 @@
     metrics.count(DEPENDENCY_LOSSES)
 
 
+def count_discarded_text(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count the text of an item that was discarded for its size."""
+    metrics.count(TEXTS_DISCARDED)
+
+
 def count_unexpected_error(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
     """Count an unexpected error by the part of the process."""
     metrics.count(UNEXPECTED_ERRORS, part=fields["part"])
@@ -289,6 +300,7 @@
     events.TARGET_CRASHED.code: count_crash,
     events.TARGET_LIMIT_NAMED.code: count_limit,
     events.DEPENDENCY_LOST.code: count_dependency_loss,
+    events.ITEM_TEXT_DISCARDED.code: count_discarded_text,
     events.UNEXPECTED_ERROR.code: count_unexpected_error,
     events.TASK_FAILED.code: count_failed_task,
 }
