Send no request on a connection that has carried its id before

Cause: a rejected order goes out again with the same id on the same pooled connection. A late extra copy of the rejection bears that id, so it is taken for the response to the second send, which counts as not run, and the order goes to a third place while the second one works on it. Items and scorer calls share the code; orders to engines and reports have no id at all.

Change: the pool gives no connection to a request whose id it has carried, and requests without an id count as having one. A response without an id, or with two, is no response to a request with one where that may be wrong. The stand-in of targets echoes the id in its rejections too, as the protocol says.

--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -128,7 +128,7 @@
     connection, and the engine then cancels the request. `texts` bounds the memory of all texts.
     """
     try:
-        connection = await pool.acquire(target.record.address)
+        connection = await pool.acquire(target.record.address, echo=wire.echo_field(item.id))
         await verify_run(connection, target, directory)
     except ConnectFailed as error:
         return RunReport(ItemOutcome.NO_CONNECTION, str(error))
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -20,6 +20,9 @@
 # Idle connections are closed this long before the server would close them, so that no request is
 # sent on a connection that the server is closing.
 IDLE_MARGIN_S = 0.5
+# Number of the newest requests of a connection whose ids are kept. A late response to an older one
+# is not expected any more.
+MAX_CARRIED_IDS = 128
 # Longest idle time for servers that announce none.
 DEFAULT_MAX_IDLE_S = 4.0
 
@@ -88,7 +91,11 @@
     active : bool
         Whether a request has been sent.
     echo : tuple of str or None
-        Header field and value that identify the response to the present request.
+        Header field and value that identify the response to the present request. The value is empty
+        for a request without an id, whose response names none.
+    carried : dict of tuple of str to None
+        Values of `echo` of the newest requests, the oldest first. A late extra response repeats the
+        value of its request, so a connection must not carry another request with the same one.
     mismatched : bool
         Whether the response being received belongs to another request and is skipped.
     head : ResponseHead or None
@@ -133,6 +140,7 @@
         self.requests = 0
         self.on_idle_closed = None
         self.verified_run = ""
+        self.carried: dict[tuple[str, str], None] = {}
         self.reset_exchange()
 
     def reset_exchange(self) -> None:
@@ -277,8 +285,8 @@
         body : bytes
             The complete body.
         echo : tuple of str, optional
-            Header field and value that the response repeats. A response with another value belongs
-            to another request and is skipped.
+            Header field and value that the response repeats, with an empty value for a request
+            without an id. A response with another value belongs to another request and is skipped.
 
         Raises
         ------
@@ -292,6 +300,7 @@
         self.reusable = True
         self.requests += 1
         self.echo = echo
+        self.record_carried(echo)
         head = [*fields]
         if body or method in ("POST", "PUT", "PATCH"):
             head.append(("Content-Length", str(len(body))))
@@ -351,13 +360,30 @@
         self.release_buffers()
         return b"".join(parts)
 
+    def record_carried(self, echo: tuple[str, str] | None) -> None:
+        """Keep what identifies the response to a request, and forget the oldest one if needed."""
+        if echo is None:
+            return
+        self.carried[echo] = None
+        if len(self.carried) > MAX_CARRIED_IDS:
+            del self.carried[next(iter(self.carried))]
+
+    def may_carry(self, echo: tuple[str, str] | None) -> bool:
+        """Return whether no late response of this connection can be taken for that of a request."""
+        return echo is None or echo not in self.carried
+
     def is_mismatched(self, headers: Headers) -> bool:
-        """Return whether a response repeats a value other than that of the present request."""
+        """Return whether a response belongs to a request other than the present one.
+
+        A response without the value belongs to a request without an id, if there was one.
+        """
         if self.echo is None:
             return False
         name, value = self.echo
-        repeated = headers.get(name)
-        return repeated is not None and repeated != value
+        repeated = headers.values(name)
+        if not repeated:
+            return value != "" and (name, "") in self.carried
+        return any(other != value for other in repeated)
 
     def apply_keep_alive(self, headers: Headers) -> None:
         """Set the longest idle time to what the server announces, less a margin."""
--- a/turmericreach/http1/headers.py
+++ b/turmericreach/http1/headers.py
@@ -45,6 +45,13 @@
         """Return the first value of a field, or the default if there is none."""
         return self.first.get(name.lower(), default)
 
+    def values(self, name: str) -> list[str]:
+        """Return the values of all fields with a name, in the order in which they arrived."""
+        wanted = name.lower()
+        if wanted not in self.first:
+            return []
+        return [value for field, value in self.fields if field.lower() == wanted]
+
     def number(self, name: str) -> float | None:
         """Return a field as a finite non-negative number, or None if it is missing or malformed."""
         text = self.get(name)
--- a/turmericreach/http1/pool.py
+++ b/turmericreach/http1/pool.py
@@ -43,31 +43,48 @@
         self.idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
 
-    def acquire_idle(self, address: str) -> ClientConnection | None:
-        """Return the most recently used idle connection that is still usable, or None."""
+    def acquire_idle(
+        self, address: str, echo: tuple[str, str] | None = None
+    ) -> ClientConnection | None:
+        """Return the most recently used idle connection that a request may use, or None.
+
+        Connections that have carried a request with the same `echo` are left in the pool.
+        """
         idle_connections = self.idle.get(address, [])
         now = asyncio.get_running_loop().time()
-        while idle_connections:
-            connection = idle_connections.pop()
-            connection.on_idle_closed = None
-            if connection.closed or not connection.reusable:
+        for connection in reversed(list(idle_connections)):
+            usable = connection.reusable and not connection.closed
+            expired = now - connection.idle_since >= connection.max_idle_s
+            if usable and not expired and not connection.may_carry(echo):
                 continue
-            if now - connection.idle_since >= connection.max_idle_s:
-                connection.close()
-                continue
-            return connection
+            idle_connections.remove(connection)
+            connection.on_idle_closed = None
+            if usable and not expired:
+                return connection
+            connection.close()
         return None
 
-    async def acquire(self, address: str, fresh: bool = False) -> ClientConnection:
+    async def acquire(
+        self, address: str, fresh: bool = False, echo: tuple[str, str] | None = None
+    ) -> ClientConnection:
         """Return an idle connection or a new one; with `fresh`, always a new one.
 
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the server.
+        fresh : bool
+            Whether the connection must be new.
+        echo : tuple of str, optional
+            What identifies the response to the request that the connection is for.
+
         Raises
         ------
         ConnectFailed
             If no connection could be opened.
         """
         if not fresh:
-            connection = self.acquire_idle(address)
+            connection = self.acquire_idle(address, echo)
             if connection is not None:
                 return connection
         self.opened += 1
@@ -91,7 +108,7 @@
         ResponseIncomplete
             If the response is not complete; the request may have run.
         """
-        connection = await self.acquire(address)
+        connection = await self.acquire(address, echo=echo)
         try:
             head = await connection.request(method, target, fields, body, echo)
             return head, await connection.read_body()
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -311,9 +311,12 @@
     async def connection_for(self, exchange: Exchange, target: Target) -> ClientConnection:
         """Return a connection to a target.
 
-        A pooled connection that may be closing is used only for repeatable requests.
+        A pooled connection that may be closing is used only for repeatable requests, and one that
+        has carried an earlier attempt of the request is not used: a late extra copy of its response
+        would be taken for the response to this attempt.
         """
-        connection = self.pool.acquire_idle(target.record.address)
+        echo = wire.echo_field(exchange.attempt.id)
+        connection = self.pool.acquire_idle(target.record.address, echo)
         if connection is None:
             return await self.pool.acquire(target.record.address, fresh=True)
         idle_s = asyncio.get_running_loop().time() - connection.idle_since
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -145,9 +145,9 @@
     )
 
 
-def echo_field(attempt_id: str) -> tuple[str, str] | None:
-    """Return the header field that the response of a target repeats, or None without an attempt."""
-    return (ATTEMPT_ID, attempt_id) if attempt_id else None
+def echo_field(attempt_id: str = "") -> tuple[str, str]:
+    """Return the header field that the response of a target repeats, empty without an attempt."""
+    return ATTEMPT_ID, attempt_id
 
 
 def forwarded_fields(
--- a/turmericreach/services/identity.py
+++ b/turmericreach/services/identity.py
@@ -57,7 +57,9 @@
 async def read_start(connection: ClientConnection) -> int:
     """Return the start time of the target at the other end, in Unix milliseconds, 0 if unknown."""
     async with asyncio.timeout(REPORT_TIMEOUT_S):
-        head = await connection.request("GET", REPORT_PATH, wire.report_fields(), b"")
+        head = await connection.request(
+            "GET", REPORT_PATH, wire.report_fields(), b"", wire.echo_field()
+        )
         body = await connection.read_body()
     if head.status != 200:
         raise ResponseIncomplete(f"status {head.status}")
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -343,7 +343,11 @@
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
                 head, body = await self.pool.fetch(
-                    target.record.address, "GET", REPORT_PATH, wire.report_fields()
+                    target.record.address,
+                    "GET",
+                    REPORT_PATH,
+                    wire.report_fields(),
+                    echo=wire.echo_field(),
                 )
             if head.status != 200:
                 return None
@@ -401,6 +405,7 @@
                     wire.ORDER_PATH,
                     wire.order_fields(target.id),
                     wire.encode_order(message),
+                    wire.echo_field(),
                 )
         except (ConnectFailed, ResponseIncomplete, TimeoutError):
             # send_order logs an order without a response.
--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -8,6 +8,7 @@
 import attrs
 
 from turmericreach.http1 import HttpServer, Request, Responder
+from turmericreach.http1.headers import encode_headers
 
 __all__ = ["TargetFaults", "TargetStandIn"]
 
@@ -35,6 +36,8 @@
         Accept requests and send no response.
     extra_answer : bool
         Send a second response after each one.
+    late_extra : bool
+        Send a copy of each rejection just before the next response on its connection.
     truncate : bool
         Close the connection in the middle of each body.
     unframed : bool
@@ -60,6 +63,7 @@
     interrupt_after_events: int | None = None
     silent: bool = False
     extra_answer: bool = False
+    late_extra: bool = False
     truncate: bool = False
     unframed: bool = False
     lose_every: int = 0
@@ -121,6 +125,8 @@
         Requests that ended without a whole response.
     crashes : int
         Number of times that it was ended by a request.
+    late : dict of object to bytes
+        Extra response that precedes the next one, by connection.
     on_change : callable
         Called when an order has changed a version.
     address : str
@@ -158,6 +164,7 @@
         self.stream_count = 0
         self.dropped = 0
         self.crashes = 0
+        self.late: dict[object, bytes] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.server = HttpServer(self.handle)
         self.address = ""
@@ -204,12 +211,15 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Handle a request, an order or a call for the report."""
+        responder.connection.write(self.late.pop(responder.connection, b""))
         if request.path == "/api/report":
             responder.send(200, self.leaving_fields(), json.dumps(self.report()).encode())
             return
         expected = request.headers.get("x-expect-instance")
         if expected is not None and expected != self.id:
-            responder.send(421, [("X-Instance-Id", self.id)])
+            attempt = request.headers.get("x-attempt-id")
+            echo = [] if attempt is None else [("X-Attempt-Id", attempt)]
+            responder.send(421, [("X-Instance-Id", self.id), *echo])
             return
         if request.path == "/api/order":
             await self.handle_order(request, responder)
@@ -220,11 +230,15 @@
         if self.faults.shed > 0:
             self.faults.shed -= 1
             rejection_fields = [
+                ("X-Attempt-Id", attempt),
                 ("X-Not-Executed", "1"),
                 ("X-Server-Load", f"{self.slots},0,{self.slots}"),
                 *self.leaving_fields(),
             ]
             responder.send(503, rejection_fields)
+            if self.faults.late_extra:
+                fields = [*rejection_fields, ("Content-Length", "0")]
+                self.late[responder.connection] = encode_headers("HTTP/1.1 503 Full", fields)
             return
         self.runs.append((attempt, request.method, request.target))
         self.active += 1
