Let one odd object of the store hide no other one

Cause: a page was decoded as a whole, so one object that the decoder rejects made all of it unreadable, and the mirror asked for the same page for ever. What did decode was trusted: depth, numbers, sizes, addresses, header fields. An error of a listener ended the watch, and the next one met the object again.

Change: a page that cannot be decoded as a whole is split by its brackets, and an object that cannot be decoded keeps its name and revision only. One place checks depth and integers, one checks what a target's entry may hold; records of lots, result segments and messages of peers are values or typed errors as well. An error of a listener ends one change alone. The test of read_record gets a whole record, since an incomplete one is rejected now; it checks as much.

--- a/tests/batches/test_records.py
+++ b/tests/batches/test_records.py
@@ -6,7 +6,11 @@
 from turmericreach.batches.records import read_record
 from turmericreach.metadata import StoredObject
 
-NEW = StoredObject("lots", "lot1", 7, {"owner": "h1", "itemCount": 2}, None)
+SPEC = {
+    "owner": "h1", "itemCount": 2, "host": "h", "path": "/x", "model": "m",
+    "expectedTokens": 2.0, "submittedMs": 1000, "submission": {},
+}  # fmt: skip
+NEW = StoredObject("lots", "lot1", 7, SPEC, None)
 
 
 @pytest.mark.parametrize(
--- a/turmericreach/batches/calls.py
+++ b/turmericreach/batches/calls.py
@@ -13,7 +13,13 @@
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.batches.text_memory import encoded_bytes
 from turmericreach.coordination.names import LOTS_KIND
-from turmericreach.metadata import Conflict, MetadataClient, MetadataError, OutcomeUnknown
+from turmericreach.metadata import (
+    Conflict,
+    MetadataClient,
+    MetadataError,
+    OutcomeUnknown,
+    StoredObject,
+)
 from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.lots import decode_submission
 from turmericreach.telemetry import log_event
@@ -118,9 +124,7 @@
         try:
             object = await self.client.create(LOTS_KIND, lot, stored, started_at + SUBMIT_TIMEOUT_S)
         except Conflict as conflict:
-            if conflict.current is not None:
-                self.registry.apply_object(conflict.current)
-            return Acceptance(True)
+            return self.accept_stored(conflict.current)
         except OutcomeUnknown as error:
             return Acceptance(False, unknown=True, reason=str(error))
         except MetadataError as error:
@@ -138,6 +142,16 @@
         )
         return Acceptance(True, record=self.registry.apply_object(object))
 
+    def accept_stored(self, stored: StoredObject | None) -> Acceptance:
+        """Return the outcome of a submission whose name exists in the store already."""
+        try:
+            if stored is not None:
+                self.registry.apply_object(stored)
+        except MetadataError as error:
+            # Another writer has stored something else under the name.
+            return Acceptance(False, unknown=True, reason=str(error))
+        return Acceptance(True)
+
     async def read_local(self, record: BatchRecord, after: int, wait_s: float) -> Page | None:
         """Return results of a lot that runs here, or None if it does not.
 
--- a/turmericreach/batches/log.py
+++ b/turmericreach/batches/log.py
@@ -2,11 +2,14 @@
 
 from typing import Any
 
+import attrs
 import msgspec
 
 from turmericreach.batches.model import ItemResult
 from turmericreach.batches.text_memory import encoded_bytes
 from turmericreach.metadata import Conflict, MetadataClient
+from turmericreach.telemetry import log_event
+from turmericreach.telemetry import node_events as events
 
 __all__ = ["BatchLog", "SegmentConflict", "segment_kind"]
 
@@ -17,6 +20,19 @@
 RESULT_OVERHEAD_BYTES = 300
 
 
+@attrs.frozen
+class Segment:
+    """Stored part of a log.
+
+    Attributes
+    ----------
+    results : list of ItemResult
+        Results in the order in which they are listed.
+    """
+
+    results: list[ItemResult]
+
+
 class SegmentConflict(Exception):
     """Another process has already written the next segment."""
 
@@ -136,14 +152,26 @@
             self.add_segment(spec)
 
     def add_segment(self, spec: Any) -> None:
-        """Add the results of a stored segment."""
-        for value in spec["results"]:
-            result = msgspec.convert(value, ItemResult)
+        """Add the results of a stored segment.
+
+        A segment of another writer that cannot be decoded counts as empty, at every process alike.
+        """
+        for result in self.decode_segment(spec):
             self.results.append(result)
             self.text_bytes += encoded_bytes(result.text)
             self.listed.add(result.item)
         self.segments += 1
 
+    def decode_segment(self, spec: Any) -> list[ItemResult]:
+        """Return the results of a stored segment, none if it cannot be decoded."""
+        try:
+            return msgspec.convert(spec, Segment).results
+        except msgspec.ValidationError as error:
+            log_event(
+                events.STORE_OBJECT_UNREADABLE, kind=segment_kind(self.lot), problem=str(error)
+            )
+            return []
+
     def split(self, results: list[ItemResult]) -> list[list[ItemResult]]:
         """Split results into parts that fit into one segment each."""
         parts, size = [[]], 0
--- a/turmericreach/batches/records.py
+++ b/turmericreach/batches/records.py
@@ -7,6 +7,7 @@
 
 from turmericreach.batches.model import BatchSpec
 from turmericreach.metadata import StoredObject
+from turmericreach.platform.decoding import Fields
 
 __all__ = ["BatchRecord", "new_record_spec", "read_record"]
 
@@ -109,13 +110,25 @@
 
 
 def read_record(object: StoredObject) -> BatchRecord:
-    """Return the record of a stored lot."""
-    status = object.status or {}
+    """Return the record of a stored lot.
+
+    Raises
+    ------
+    DecodeError
+        If another writer has stored something else under the kind of the lots.
+    """
+    fields = Fields(object.spec, object.name)
+    for key in ("host", "path", "model"):
+        fields.text(key)
+    fields.number("expectedTokens")
+    fields.integer("submittedMs")
+    fields.object("submission")
+    status = Fields(object.status or {}, f"{object.name} status")
     return BatchRecord(
         lot=object.name,
-        owner=status.get("owner", object.spec["owner"]),
-        ended=status.get("ended", False),
-        item_count=object.spec["itemCount"],
+        owner=status.text("owner", fields.text("owner")),
+        ended=status.boolean("ended", False),
+        item_count=fields.integer("itemCount"),
         revision=object.revision,
         object=object,
     )
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -17,7 +17,13 @@
 from turmericreach.batches.text_memory import TEXT_MEMORY_SHARE, TextMemory, held_bytes
 from turmericreach.coordination.names import LOTS_KIND
 from turmericreach.http1 import ConnectionPool
-from turmericreach.metadata import Conflict, MetadataClient, MetadataError, StoredObject
+from turmericreach.metadata import (
+    Conflict,
+    MetadataClient,
+    MetadataError,
+    StoredObject,
+    Unavailable,
+)
 from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.lots import decode_submission
 from turmericreach.services import Configuration
@@ -110,10 +116,8 @@
         """Apply a stored lot that changed."""
         try:
             record = read_record(object)
-        except (KeyError, TypeError) as error:
-            log_event(
-                events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=f"{object.name}: {error}"
-            )
+        except DecodeError as error:
+            log_event(events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=str(error))
             return
         self.apply_record(record)
 
@@ -389,8 +393,18 @@
         return None
 
     def apply_object(self, object: StoredObject) -> BatchRecord:
-        """Apply an object that the store returned and return its record."""
-        record = read_record(object)
+        """Apply an object that the store returned and return its record.
+
+        Raises
+        ------
+        Unavailable
+            If the object is not the record of a lot.
+        """
+        try:
+            record = read_record(object)
+        except DecodeError as error:
+            log_event(events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=str(error))
+            raise Unavailable(str(error)) from error
         self.apply_record(record)
         return record
 
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import PeerStatus
 from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, OWN_KIND
 from turmericreach.coordination.peer import Peer
@@ -18,6 +19,7 @@
 )
 from turmericreach.metadata import Conflict, KindMirror, MetadataClient, MetadataError, StoredObject
 from turmericreach.placement.ownership import choose_owner
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.services import TargetDirectory
 from turmericreach.sharing import SharedTables
 from turmericreach.telemetry import log_event
@@ -343,8 +345,8 @@
             body = await self.call(
                 peer, "GET", f"/peer/status?from={self.host}", b"", PING_TIMEOUT_S
             )
-            status = msgspec.json.decode(body, type=PeerStatus)
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError) as error:
+            status = decode_message(body, PeerStatus)
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError) as error:
             peer.failures += 1
             if peer.failures == FAILURES_TO_LOG:
                 reason = f"{type(error).__name__} {error}".strip()
--- a/turmericreach/coordination/permits.py
+++ b/turmericreach/coordination/permits.py
@@ -6,10 +6,12 @@
 
 import msgspec
 
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import PermitReply, PermitRequest, TargetLimit
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.sharing import Denial, LimitTable, Permit, RateArbiter
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
@@ -131,8 +133,8 @@
             body = await self.peers.call(
                 peer, "POST", PERMIT_PATH, msgspec.json.encode(message), PERMIT_TIMEOUT_S
             )
-            reply = msgspec.json.decode(body, type=PermitReply)
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError) as error:
+            reply = decode_message(body, PermitReply)
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError) as error:
             self.failed_at = asyncio.get_running_loop().time()
             self.retry_at = self.failed_at + REJECTED_PAUSE_S
             return self.decide_alone(targets, priority, max_delay_s, peer, error)
--- a/turmericreach/coordination/relay.py
+++ b/turmericreach/coordination/relay.py
@@ -8,13 +8,13 @@
 import asyncio
 import random
 
-import msgspec
-
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import ChangePage
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
 from turmericreach.metadata import KindMirror, MetadataClient, StoredObject, WatchPage
+from turmericreach.platform.decoding import DecodeError
 
 __all__ = ["RelaySource", "serve_watch"]
 
@@ -93,8 +93,8 @@
         path = f"/peer/watch?kind={kind}&after={revision}"
         try:
             body = await self.peers.call(peer, "GET", path, b"", RELAY_WAIT_S + RELAY_MARGIN_S)
-            page = msgspec.json.decode(body, type=ChangePage)
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError):
+            page = decode_message(body, ChangePage)
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError):
             # The coordinator is used again after a pause; the peer table logs its state.
             self.direct_until = asyncio.get_running_loop().time() + RELAY_PAUSE_S
             self.delay_direct(kind)
--- a/turmericreach/coordination/shared_state.py
+++ b/turmericreach/coordination/shared_state.py
@@ -1,15 +1,16 @@
 """Exchange of the shared tables between processes."""
 
 import attrs
-import msgspec
 
 from turmericreach.coordination.crashing_requests import CrashingRequests
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.leaving_targets import LeavingTargets
 from turmericreach.coordination.messages import SharedState
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.peers import PeerTable
 from turmericreach.coordination.permits import TargetPermits
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
@@ -88,10 +89,8 @@
             return
         path = f"{SHARED_STATE_PATH}?after={after}&observed={int(is_hub)}"
         try:
-            state = msgspec.json.decode(
-                await self.peers.call(peer, "GET", path, b""), type=SharedState
-            )
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError) as error:
+            state = decode_message(await self.peers.call(peer, "GET", path, b""), SharedState)
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError) as error:
             reason = f"{type(error).__name__} {error}".strip()
             log_event(events.SHARED_STATE_UNREAD, peer=peer.host, reason=reason)
             return
--- a/turmericreach/coordination/stream_origins.py
+++ b/turmericreach/coordination/stream_origins.py
@@ -6,10 +6,12 @@
 import attrs
 import msgspec
 
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import OriginQuery, OriginReply, StreamBegun
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import ConnectFailed, ResponseIncomplete
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.sharing import (
     ASKED_REPLICAS,
     REPLICAS,
@@ -186,8 +188,8 @@
                 msgspec.json.encode(OriginQuery(attempt)),
                 QUERY_TIMEOUT_S,
             )
-            return msgspec.json.decode(body, type=OriginReply).software
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError):
+            return decode_message(body, OriginReply).software
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError):
             # The other processes that hold a copy are asked at the same time.
             return ""
 
--- a/turmericreach/http1/__init__.py
+++ b/turmericreach/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 servers and clients at protocol level, for programs that forward requests."""
 
+from turmericreach.http1.addresses import is_address
 from turmericreach.http1.client import (
     ClientConnection,
     ConnectFailed,
@@ -29,6 +30,7 @@
     "ResponseLimits",
     "ServerLimits",
     "connect",
+    "is_address",
     "query_value",
     "read_number",
     "split_target",
--- a/turmericreach/documents/addresses.py
+++ b/turmericreach/http1/addresses.py
@@ -2,6 +2,8 @@
 
 import ipaddress
 
+from turmericreach.http1.numbers import read_number
+
 __all__ = ["MAX_PORT", "is_address", "is_ip"]
 
 MAX_PORT = 65535
@@ -19,6 +21,7 @@
 def is_address(text: str) -> bool:
     """Return whether a text is ``ip:port``; an IPv6 address may stand in brackets."""
     host, colon, port = text.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or len(port) > 5:
+    number = read_number(port, max_digits=5)
+    if not colon or number is None:
         return False
-    return 1 <= int(port) <= MAX_PORT and is_ip(host.removeprefix("[").removesuffix("]"))
+    return 1 <= number <= MAX_PORT and is_ip(host.removeprefix("[").removesuffix("]"))
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -453,7 +453,8 @@
             _, connection = await loop.create_connection(
                 lambda: ClientConnection(address, limits, buffers), host, int(port)
             )
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The last two are those of an address that is none, such as one with port 99999.
         refused = isinstance(error, ConnectionRefusedError)
         raise ConnectFailed(f"{address}: {error or 'timed out'}", refused) from error
     return connection
--- a/turmericreach/metadata/mirror.py
+++ b/turmericreach/metadata/mirror.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
+import msgspec
 
 from turmericreach.metadata.objects import (
     HistoryGone,
@@ -15,6 +17,7 @@
     WatchPage,
 )
 from turmericreach.telemetry import events, log_event, node_events
+from turmericreach.telemetry.unexpected import log_unexpected
 
 __all__ = ["KindMirror", "MirrorListener", "WatchSource"]
 
@@ -25,6 +28,8 @@
 MISSED_CHANGE_S = 0.3
 # Number of changes kept for processes that watch this mirror instead of the store.
 HISTORY_CHANGES = 2000
+# Encoded size of these changes.
+HISTORY_BYTES = 8 << 20
 
 
 class MirrorListener(Protocol):
@@ -68,10 +73,13 @@
         Store revision at or before which the change took place.
     change : ObjectChange
         The change.
+    size : int
+        Encoded size of the change in bytes.
     """
 
     revision: int
     change: ObjectChange
+    size: int
 
 
 class KindMirror:
@@ -102,6 +110,8 @@
         Highest revision of an object seen.
     history : deque of RecordedChange
         Latest changes, for processes that watch this mirror.
+    history_bytes : int
+        Encoded size of `history`.
     history_start_revision : int
         Lowest revision after which `history` holds all changes.
     """
@@ -118,7 +128,8 @@
         self.newest_revision = 0
         self.watch_task: asyncio.Task | None = None
         self.missed_since: float | None = None
-        self.history: deque[RecordedChange] = deque(maxlen=HISTORY_CHANGES)
+        self.history: deque[RecordedChange] = deque()
+        self.history_bytes = 0
         self.history_start_revision = 0
         self.changed = asyncio.Event()
         self.random = random.Random()
@@ -218,7 +229,7 @@
             return
         self.objects[object.name] = object
         self.record_change(object.revision, ObjectChange(object, removed=False))
-        self.listener.object_changed(object)
+        self.notify(self.listener.object_changed, object)
 
     def apply_removal(self, object: StoredObject, revision: int) -> None:
         """Apply a removal unless the object has been created again since."""
@@ -228,7 +239,14 @@
             return
         del self.objects[object.name]
         self.record_change(revision, ObjectChange(known, removed=True))
-        self.listener.object_removed(known)
+        self.notify(self.listener.object_removed, known)
+
+    def notify(self, apply: Callable[[StoredObject], None], object: StoredObject) -> None:
+        """Pass a change to the listener; an unexpected error ends this change alone."""
+        try:
+            apply(object)
+        except Exception as error:
+            log_unexpected("mirror", f"{self.kind}/{object.name}", error)
 
     def confirm_current(self) -> None:
         """Record that the mirror is current."""
@@ -239,9 +257,13 @@
 
     def record_change(self, revision: int, change: ObjectChange) -> None:
         """Add a change to the history and wake the waiting watches."""
-        if len(self.history) == self.history.maxlen:
-            self.history_start_revision = max(self.history_start_revision, self.history[0].revision)
-        self.history.append(RecordedChange(revision, change))
+        recorded = RecordedChange(revision, change, len(msgspec.json.encode(change)))
+        self.history.append(recorded)
+        self.history_bytes += recorded.size
+        while len(self.history) > HISTORY_CHANGES or self.history_bytes > HISTORY_BYTES:
+            oldest = self.history.popleft()
+            self.history_bytes -= oldest.size
+            self.history_start_revision = max(self.history_start_revision, oldest.revision)
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -4,11 +4,10 @@
 import contextlib
 import random
 
-import msgspec
-
 from turmericreach.batches.calls import BatchCalls, Page
 from turmericreach.batches.handover import owner_subject
 from turmericreach.batches.records import BatchRecord
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import LotNotice
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.peers import FRESH_STORE_AGE_S, PeerTable
@@ -287,8 +286,8 @@
             body = await self.peers.call(
                 peer, "GET", f"/peer/lot?id={lot}", b"", COORDINATOR_TIMEOUT_S
             )
-            record = msgspec.json.decode(body, type=BatchRecord)
-        except (ConnectFailed, ResponseIncomplete, TimeoutError, msgspec.DecodeError):
+            record = decode_message(body, BatchRecord)
+        except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError):
             # The record is read from the store instead.
             return None
         self.registry.apply_record(record)
--- a/turmericreach/node/peer_api.py
+++ b/turmericreach/node/peer_api.py
@@ -6,6 +6,7 @@
 
 from turmericreach.batches.handover import LotHandover
 from turmericreach.batches.registry import BatchRegistry
+from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import (
     HandOver,
     LoadNotice,
@@ -26,6 +27,7 @@
 from turmericreach.http1 import Request, Responder, query_value, read_number
 from turmericreach.metadata import HistoryGone, KindMirror
 from turmericreach.node.caller_api import CallerApi
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.versions.converger import VersionConverger
 
 __all__ = ["PeerApi"]
@@ -79,7 +81,7 @@
             return
         try:
             await handler(request, responder)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except DecodeError:
             responder.send(400)
 
     async def send_status(self, request: Request, responder: Responder) -> None:
@@ -118,23 +120,23 @@
 
     async def apply_lot_notice(self, request: Request, responder: Responder) -> None:
         """Apply the record of a lot sent by another process."""
-        notice = msgspec.json.decode(request.body, type=LotNotice)
+        notice = decode_message(request.body, LotNotice)
         self.registry.apply_record(notice.record)
         responder.send(200)
 
     async def accept_lot(self, request: Request, responder: Responder) -> None:
         """Accept a lot that its owner hands over, or respond with 409."""
-        accepted = await self.handover.accept_lot(msgspec.json.decode(request.body, type=HandOver))
+        accepted = await self.handover.accept_lot(decode_message(request.body, HandOver))
         responder.send(200 if accepted else 409)
 
     async def handle_load_notice(self, request: Request, responder: Responder) -> None:
         """Handle the notification that a target is loading a version."""
-        self.converger.apply_load_notice(msgspec.json.decode(request.body, type=LoadNotice))
+        self.converger.apply_load_notice(decode_message(request.body, LoadNotice))
         responder.send(200)
 
     async def grant_permit(self, request: Request, responder: Responder) -> None:
         """Decide on a request for a permit, or respond with 409 if another process arbitrates."""
-        reply = self.permits.grant(msgspec.json.decode(request.body, type=PermitRequest))
+        reply = self.permits.grant(decode_message(request.body, PermitRequest))
         if reply is None:
             responder.send(409)
             return
@@ -142,12 +144,12 @@
 
     async def apply_streams(self, request: Request, responder: Responder) -> None:
         """Apply the origins of streams that another process has begun."""
-        self.origins.merge(msgspec.json.decode(request.body, type=list[StreamBegun]))
+        self.origins.merge(decode_message(request.body, list[StreamBegun]))
         responder.send(200)
 
     async def send_origin(self, request: Request, responder: Responder) -> None:
         """Send what this process knows of the origin of a stream."""
-        query = msgspec.json.decode(request.body, type=OriginQuery)
+        query = decode_message(request.body, OriginQuery)
         send_message(responder, self.origins.answer(query))
 
     async def send_shared_state(self, request: Request, responder: Responder) -> None:
--- a/turmericreach/platform/decoding.py
+++ b/turmericreach/platform/decoding.py
@@ -6,7 +6,12 @@
 
 from turmericreach.verdicts import TurmericreachError
 
-__all__ = ["DecodeError", "Fields", "decode_json"]
+__all__ = ["DecodeError", "Fields", "check_value", "decode_json"]
+
+# No document of the platform is nested nearly as deeply.
+MAX_DEPTH = 32
+# Integers that fit 64 bits, as those of the platform do.
+MAX_INTEGER = (1 << 63) - 1
 
 
 class DecodeError(TurmericreachError):
@@ -19,12 +24,41 @@
     Raises
     ------
     DecodeError
-        If the bytes are not valid JSON.
+        If the bytes are not valid JSON, are nested too deeply, or hold a number that is too large.
     """
     try:
-        return msgspec.json.decode(data)
+        value = msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise DecodeError(f"no JSON: {error}") from error
+    check_value(value)
+    return value
+
+
+def check_value(value: Any) -> None:
+    """Check the depth of a decoded value and the size of its integers.
+
+    Deeper values could be decoded here and fail to be encoded elsewhere, since the depth that the
+    interpreter allows depends on the depth of its own stack.
+
+    Raises
+    ------
+    DecodeError
+        If the value is nested too deeply, or an integer does not fit 64 bits.
+    """
+    level, depth = [value], 0
+    while level:
+        depth += 1
+        if depth > MAX_DEPTH:
+            raise DecodeError(f"nested more than {MAX_DEPTH} levels deep")
+        below: list[Any] = []
+        for part in level:
+            if type(part) is dict:
+                below.extend(part.values())
+            elif type(part) is list:
+                below.extend(part)
+            elif type(part) is int and abs(part) > MAX_INTEGER:
+                raise DecodeError("an integer does not fit 64 bits")
+        level = below
 
 
 class Fields:
@@ -74,7 +108,7 @@
         """Return a field that is an integer; a float with an integral value is accepted."""
         value = self.get(key, (int, float), default)
         if isinstance(value, float):
-            if not value.is_integer():
+            if not value.is_integer() or abs(value) > MAX_INTEGER:
                 raise DecodeError(f"{self.field_path(key)}: expected an integer")
             return int(value)
         return value
--- a/turmericreach/platform/documents.py
+++ b/turmericreach/platform/documents.py
@@ -1,10 +1,11 @@
 """Decoding of the objects that operators, trainers and targets write to the metadata store."""
 
+import re
 from typing import Any
 
 import attrs
 
-from turmericreach.http1 import ServerLimits
+from turmericreach.http1 import ServerLimits, is_address
 from turmericreach.metadata.objects import StoredObject
 from turmericreach.platform.decoding import DecodeError, Fields
 from turmericreach.services.configuration import (
@@ -22,6 +23,7 @@
     "RetirementRequest",
     "RequestedVersion",
     "decode_configuration",
+    "decode_model_versions",
     "decode_retirement",
     "decode_target",
     "decode_version",
@@ -30,6 +32,14 @@
 
 MS = 1000.0
 
+# What an entry of a target may hold; all of it is kept in memory, and slots cost time at each
+# placement.
+MAX_TEXT_CHARS = 256
+MAX_MODELS = 256
+MAX_SLOTS = 10_000
+# The id of a target is sent in a header field.
+TARGET_ID = re.compile(r"[\x21-\x7e]{1,256}")
+
 KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -163,28 +173,48 @@
     state = fields.text("state")
     if state not in ("ready", "draining"):
         raise DecodeError(f"state: unexpected {state!r}")
-    versions = {}
-    for value in fields.list("models", []):
-        model = Fields(value, "models")
-        versions[model.text("name")] = model.integer("version")
+    if not TARGET_ID.fullmatch(object.name):
+        raise DecodeError("name: cannot be sent in a header field")
     address = fields.text("address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DecodeError(f"address: unexpected {address!r}")
+    if not is_address(address):
+        raise DecodeError(f"address: unexpected {address[:MAX_TEXT_CHARS]!r}")
+    slots = fields.integer("slots", 1)
+    if slots > MAX_SLOTS:
+        raise DecodeError(f"slots: more than {MAX_SLOTS}")
     return TargetRecord(
         id=object.name,
         started_ms=fields.integer("born", 0),
-        service=fields.text("service"),
+        service=short_text(fields, "service"),
         address=address,
-        data_centre=fields.text("zone", ""),
-        slots=max(fields.integer("slots", 1), 1),
+        data_centre=short_text(fields, "zone", ""),
+        slots=max(slots, 1),
         draining=state == "draining",
-        model_versions=versions,
+        model_versions=decode_model_versions(fields),
         orders_accepted=fields.integer("seq", 0),
-        software_version=fields.text("version", ""),
+        software_version=short_text(fields, "version", ""),
     )
 
 
+def short_text(fields: Fields, key: str, default: Any = ...) -> str:
+    """Return a field that is a text of bounded length."""
+    text = fields.text(key, default)
+    if len(text) > MAX_TEXT_CHARS:
+        raise DecodeError(f"{fields.field_path(key)}: longer than {MAX_TEXT_CHARS} characters")
+    return text
+
+
+def decode_model_versions(fields: Fields) -> dict[str, int]:
+    """Return the version of the weights of each model that a target names."""
+    models = fields.list("models", [])
+    if len(models) > MAX_MODELS:
+        raise DecodeError(f"models: more than {MAX_MODELS}")
+    versions = {}
+    for value in models:
+        model = Fields(value, "models")
+        versions[short_text(model, "name")] = model.integer("version")
+    return versions
+
+
 def decode_version(object: StoredObject) -> RequestedVersion:
     """Return the version that a trainer requests; the object is named after the model."""
     fields = Fields(object.spec)
--- a/turmericreach/platform/store.py
+++ b/turmericreach/platform/store.py
@@ -1,5 +1,6 @@
 """Encoding of calls to the metadata store, and decoding of the responses."""
 
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -8,6 +9,7 @@
 
 from turmericreach.metadata.objects import ObjectChange, ObjectPage, StoredObject, WatchPage
 from turmericreach.platform.decoding import DecodeError, Fields, decode_json
+from turmericreach.platform.json_parts import split_array, split_object
 from turmericreach.platform.names import OBJECTS_PATH
 
 __all__ = [
@@ -36,6 +38,9 @@
 CONFIGURATION_NAME = "main"
 VERSIONS_KIND = "versions"
 RETIREMENTS_KIND = "retirements"
+# Entries of targets are kept in memory by every process. Those of the platform take a few hundred
+# bytes.
+MAX_TARGET_BYTES = 16_384
 
 
 @attrs.frozen
@@ -125,46 +130,97 @@
     """Return the object that a decoded JSON value describes."""
     fields = Fields(value)
     metadata = fields.object("metadata")
-    return StoredObject(
-        kind=kind,
-        name=metadata.text("name"),
-        revision=metadata.integer("revision"),
-        spec=fields.value.get("spec"),
-        status=fields.value.get("status"),
-    )
+    spec, status = fields.value.get("spec"), fields.value.get("status")
+    if kind == TARGETS_KIND and len(msgspec.json.encode([spec, status])) > MAX_TARGET_BYTES:
+        raise DecodeError(f"larger than {MAX_TARGET_BYTES} bytes")
+    return StoredObject(kind, metadata.text("name"), metadata.integer("revision"), spec, status)
+
+
+def decode_encoded_object(kind: str, data: bytes) -> tuple[StoredObject, DecodeError | None]:
+    """Return an object, and the error if what another writer stored in it cannot be decoded.
+
+    Such an object has neither a spec nor a status. Its name and revision come from the store, so
+    that it still replaces what was known under its name.
+
+    Raises
+    ------
+    DecodeError
+        If the name or the revision cannot be decoded.
+    """
+    try:
+        return decode_object(kind, decode_json(data)), None
+    except DecodeError as error:
+        metadata = Fields(decode_json(split_object(data).get("metadata", b"")), "metadata")
+        name, revision = metadata.text("name"), metadata.integer("revision")
+        return StoredObject(kind, name, revision, None, None), DecodeError(f"{name}: {error}")
 
 
 def decode_object_response(kind: str, body: bytes) -> StoredObject:
-    """Return the object in the body of a response."""
-    return decode_object(kind, decode_json(body))
+    """Return the object in the body of a response, without a spec if that cannot be decoded."""
+    return decode_encoded_object(kind, body)[0]
 
 
-def decode_page_response(kind: str, body: bytes) -> tuple[ObjectPage, list[DecodeError]]:
-    """Return a page of a list, and an error for each object that could not be decoded."""
-    fields = Fields(decode_json(body))
-    objects, problems = [], []
-    for value in fields.list("items"):
+def decode_change(kind: str, data: bytes) -> tuple[ObjectChange, DecodeError | None]:
+    """Return a change, and the error if its object cannot be decoded."""
+    members = split_object(data)
+    object, problem = decode_encoded_object(kind, members.get("object", b""))
+    removed = decode_json(members.get("removed", b"false"))
+    return ObjectChange(object, removed is True), problem
+
+
+def decode_parts(
+    kind: str, decode: Callable[[str, bytes], tuple[Any, DecodeError | None]], parts: list[bytes]
+) -> tuple[list[Any], list[DecodeError]]:
+    """Return the decoded parts of a page, and an error for each that could not be decoded."""
+    found, problems = [], []
+    for part in parts:
         try:
-            objects.append(decode_object(kind, value))
+            value, problem = decode(kind, part)
+            found.append(value)
         except DecodeError as error:
-            problems.append(error)
-    more = fields.boolean("hasMore", False) and objects
-    page = ObjectPage(objects, fields.integer("storeRevision"), objects[-1].name if more else None)
-    return page, problems
+            problem = error
+        if problem is not None:
+            problems.append(problem)
+    return found, problems
+
+
+def decode_page_response(kind: str, body: bytes) -> tuple[ObjectPage, list[DecodeError]]:
+    """Return a page of a list, and an error for each object that could not be decoded.
+
+    A page that cannot be decoded as a whole is split first, so that one object hides no other.
+    """
+    try:
+        fields = Fields(decode_json(body))
+        objects = [decode_object(kind, value) for value in fields.list("items")]
+        problems: list[DecodeError] = []
+    except DecodeError:
+        members = split_object(body)
+        parts = split_array(members.pop("items", b""))
+        fields = Fields({name: decode_json(value) for name, value in members.items()})
+        objects, problems = decode_parts(kind, decode_encoded_object, parts)
+    has_more = fields.boolean("hasMore", False)
+    if has_more and not objects:
+        raise DecodeError("no object of the page names where the next one starts")
+    next_after = objects[-1].name if has_more else None
+    return ObjectPage(objects, fields.integer("storeRevision"), next_after), problems
 
 
 def decode_watch_response(kind: str, body: bytes) -> tuple[WatchPage, list[DecodeError]]:
-    """Return the response to a watch, and an error for each change that could not be decoded."""
-    fields = Fields(decode_json(body))
-    changes, problems = [], []
-    for value in fields.list("events"):
-        try:
+    """Return the response to a watch, and an error for each change that could not be decoded.
+
+    It is split as in `decode_page_response` if it cannot be decoded as a whole.
+    """
+    try:
+        fields = Fields(decode_json(body))
+        changes = []
+        for value in fields.list("events"):
             event = Fields(value)
-            changes.append(
-                ObjectChange(
-                    decode_object(kind, event.value.get("object")), event.boolean("removed", False)
-                )
-            )
-        except DecodeError as error:
-            problems.append(error)
+            object = decode_object(kind, event.value.get("object"))
+            changes.append(ObjectChange(object, event.boolean("removed", False)))
+        problems: list[DecodeError] = []
+    except DecodeError:
+        members = split_object(body)
+        parts = split_array(members.pop("events", b""))
+        fields = Fields({name: decode_json(value) for name, value in members.items()})
+        changes, problems = decode_parts(kind, decode_change, parts)
     return WatchPage(changes, fields.integer("storeRevision")), problems
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -5,6 +5,7 @@
 
 from turmericreach.http1 import Headers, read_number
 from turmericreach.platform.decoding import Fields, decode_json
+from turmericreach.platform.documents import decode_model_versions
 from turmericreach.platform.names import (
     ATTEMPT_ID,
     AUTHORIZATION,
@@ -332,12 +333,8 @@
 def decode_report(body: bytes) -> TargetReport:
     """Return the report in the body of a response."""
     fields = Fields(decode_json(body))
-    versions = {}
-    for value in fields.list("models", []):
-        model = Fields(value, "models")
-        versions[model.text("name")] = model.integer("version")
     return TargetReport(
-        versions=versions,
+        versions=decode_model_versions(fields),
         loading=fields.boolean("busy", False),
         orders_accepted=fields.integer("seq"),
         running=fields.integer("running", 0),
--- a/turmericreach_standins/fleet/store.py
+++ b/turmericreach_standins/fleet/store.py
@@ -70,6 +70,8 @@
         Faults that are set.
     calls : list of str
         Method and target of each call.
+    raw : dict of bytes to bytes
+        Bytes that are sent in place of encoded texts.
     address : str
         Host and port once it listens.
     """
@@ -84,6 +86,7 @@
         self.server = HttpServer(self.handle)
         self.calls: list[str] = []
         self.tasks: set[asyncio.Task] = set()
+        self.raw: dict[bytes, bytes] = {}
         self.address = ""
 
     async def start(self) -> str:
@@ -117,6 +120,19 @@
         self.record_change(kind, False, value)
         return value
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Create or replace an object whose spec is sent as the given bytes."""
+        text = f"raw {len(self.raw)}"
+        self.raw[json.dumps(text).encode()] = spec
+        self.put(kind, name, text)
+
+    def send_json(self, responder: Responder, status: int, value: Any) -> None:
+        """Send a JSON response, with an empty body for None."""
+        body = b"" if value is None else json.dumps(value).encode()
+        for text, raw in self.raw.items():
+            body = body.replace(text, raw)
+        responder.send(status, [("Content-Type", "application/json")], body)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         value = self.objects.pop((kind, name))
@@ -178,7 +194,7 @@
             self.faults.garbled_write_responses -= 1
             responder.send(status, (), b"{")
             return
-        send_json(responder, status, value)
+        self.send_json(responder, status, value)
 
     async def apply_write_late(
         self, request: Request, kind: str, name: str | None, is_status_call: bool
@@ -193,7 +209,7 @@
         """Handle a read of one object, a list or a watch."""
         if name is not None:
             value = self.objects.get((kind, name))
-            send_json(responder, 200 if value else 404, value)
+            self.send_json(responder, 200 if value else 404, value)
             return
         if "watch" in query:
             await self.handle_watch(request, responder, kind, query)
@@ -205,7 +221,7 @@
             "hasMore": len(names) > PAGE_ITEMS,
             "storeRevision": self.revision,
         }
-        send_json(responder, 200, page)
+        self.send_json(responder, 200, page)
 
     async def handle_watch(
         self, request: Request, responder: Responder, kind: str, query: dict
@@ -219,7 +235,7 @@
         deadline = asyncio.get_running_loop().time() + int(query.get("waitMs", "0")) / 1000
         while True:
             if since < self.compacted_revision:
-                send_json(responder, 410, None)
+                self.send_json(responder, 410, None)
                 return
             events = [
                 {"object": value, "removed": removed}
@@ -234,7 +250,7 @@
                     await self.changed.wait()
             except TimeoutError:
                 continue
-        send_json(responder, 200, {"events": events, "storeRevision": self.revision})
+        self.send_json(responder, 200, {"events": events, "storeRevision": self.revision})
 
     def apply_write(
         self, request: Request, kind: str, name: str | None, is_status_call: bool
@@ -265,9 +281,3 @@
     """Return the kind, the name, and whether the path addresses the status of the object."""
     parts = [unquote(part) for part in path.removeprefix(OBJECTS_PREFIX).split("/")]
     return parts[0], parts[1] if len(parts) > 1 else None, parts[2:] == ["status"]
-
-
-def send_json(responder: Responder, status: int, value: Any) -> None:
-    """Send a JSON response, with an empty body for None."""
-    body = b"" if value is None else json.dumps(value).encode()
-    responder.send(status, [("Content-Type", "application/json")], body)
