Pass on only events that follow each other in streams of callers

Cause: the gateway passed on every event that it could parse, whatever its id, and took any 200 with a stamp for a stream, also an empty one.

Change: ids are checked as those of items are; other bytes end the run of that target, and the stream goes on elsewhere if it may. The response to the caller starts with the first event. A caller's Last-Event-Id is kept when the first target cannot be reached.

--- a/tests/builders/callers.py
+++ b/tests/builders/callers.py
@@ -24,6 +24,8 @@
         Id of the attempt that brought the first event, empty if there is none.
     complete : bool
         Whether the last attempt ended as a whole response.
+    prefix : str
+        Path prefix of the route.
     retry_after : str or None
         When the last attempt may be repeated, as its response says.
     """
@@ -38,6 +40,7 @@
         self.complete = False
         self.retry_after = None
         self.connection = None
+        self.prefix = "/chat/"
 
     async def open(self, gateway):
         """Send the next attempt, which resumes after the last event, and return its status.
@@ -56,7 +59,7 @@
             self.connection = await self.world.pool.acquire(
                 gateway.settings.caller_address, fresh=True
             )
-            head = await self.connection.request("POST", f"/chat/{self.name}", fields, b"p")
+            head = await self.connection.request("POST", f"{self.prefix}{self.name}", fields, b"p")
         except (ConnectFailed, ResponseIncomplete):
             return 0
         self.retry_after = head.headers.get("retry-after")
--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -6,7 +6,7 @@
 
 from turmericreach.http1 import ResponseIncomplete, read_number
 
-__all__ = ["EventParser", "StreamEvent"]
+__all__ = ["EventParser", "StreamEvent", "follows"]
 
 # An event holds the text of a few tokens and an id.
 MAX_EVENT_BYTES = 65_536
@@ -15,6 +15,8 @@
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # Ends an event. Further line ends belong to the separator, so that a run of them is one match.
 SEPARATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2,}")
+# A worker that fails in the middle of an event may send the head of another response there.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -34,6 +36,8 @@
         Bytes of the event as received, including the blank line at its end.
     valid : bool
         Whether the bytes are valid UTF-8; if not, `data` holds replacement characters.
+    spliced : bool
+        Whether the head of another response stands in the event.
     """
 
     id: int | None
@@ -41,6 +45,12 @@
     other_lines: list[str]
     raw: bytes
     valid: bool = True
+    spliced: bool = False
+
+    def is_comment(self) -> bool:
+        """Return whether the event holds comments only, as a server sends to keep a stream open."""
+        comments = all(line.startswith(":") for line in self.other_lines)
+        return self.id is None and not self.data and comments
 
 
 class EventParser:
@@ -117,4 +127,27 @@
             data.append(value)
         else:
             other.append(line)
-    return StreamEvent(event_id, "\n".join(data), other, raw, valid) if found else None
+    if not found:
+        return None
+    return StreamEvent(event_id, "\n".join(data), other, raw, valid, is_spliced(raw, other))
+
+
+def is_spliced(raw: bytes, other_lines: list[str]) -> bool:
+    """Return whether the head of another response stands in an event.
+
+    A text may mention a status line. In a head, further fields follow it that no event has, or its
+    line ends in another way than the lines of the event.
+    """
+    if STATUS_LINE.search(raw) is None:
+        return False
+    fields = [line for line in other_lines if not line.startswith(":")]
+    return bool(fields) or len(set(LINE_END.findall(raw))) > 1
+
+
+def follows(last_event_id: int | None, event_id: int | None) -> bool:
+    """Return whether an event id continues the sequence; the first id is at most 1."""
+    if event_id is None:
+        return False
+    if last_event_id is None:
+        return event_id <= 1
+    return event_id == last_event_id + 1
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from turmericreach.batches.event_stream import EventParser
+from turmericreach.batches.event_stream import EventParser, follows
 from turmericreach.batches.model import BatchItem, Progress
 from turmericreach.batches.text_memory import TextMemory, encoded_bytes, max_text_bytes
 from turmericreach.http1 import (
@@ -269,8 +269,10 @@
                 for line in event.other_lines:
                     version = wire.version_of_line(line) or version
                 last_id = self.progress.last_event_id
-                if not event.valid:
-                    return RunReport(ItemOutcome.INTERRUPTED, "an event is not valid UTF-8")
+                if event.is_comment():
+                    continue
+                if event.spliced or not event.valid:
+                    return RunReport(ItemOutcome.INTERRUPTED, "an event holds other bytes")
                 if not follows(last_id, event.id):
                     return RunReport(ItemOutcome.INTERRUPTED, f"event {event.id} after {last_id}")
                 if self.clear_on_version_change(version):
@@ -303,15 +305,6 @@
         return now
 
 
-def follows(last_event_id: int | None, event_id: int | None) -> bool:
-    """Return whether an event id continues the sequence; the first id is at most 1."""
-    if event_id is None:
-        return False
-    if last_event_id is None:
-        return event_id <= 1
-    return event_id == last_event_id + 1
-
-
 def classify_response(response: wire.TargetResponseHead, body: bytes) -> RunReport:
     """Return the outcome of a response with a status other than 200."""
     detail = f"status {response.status}"
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from turmericreach.batches.event_stream import EventParser
+from turmericreach.batches.event_stream import EventParser, StreamEvent, follows
 from turmericreach.coordination.stream_origins import StreamOrigins
 from turmericreach.http1 import ConnectFailed, ResponseHead, ResponseIncomplete
 from turmericreach.node.exchange import Exchange
@@ -37,6 +37,7 @@
         if exchange.resumes_stream() and not await self.find_origin(exchange):
             return
         last_event_id = exchange.attempt.last_event_id
+        exchange.forwarded_event_id = last_event_id
         while True:
             if self.attempts.is_rejected(exchange):
                 break
@@ -124,9 +125,9 @@
                 response = wire.read_response_head(head.status, head.headers)
                 if response.not_run:
                     return False, last_event_id
-                if head.status != 200 or not response.stamp:
+                if head.status != 200 or not response.stamp or not response.has_events:
                     return await self.forward_failure(exchange, attempt, head), last_event_id
-                return await self.forward_events(exchange, target, attempt, head, last_event_id)
+                return await self.forward_events(exchange, target, attempt, head)
             except (ConnectFailed, ResponseIncomplete) as error:
                 attempt.record_failure(error)
                 return False, exchange.forwarded_event_id
@@ -139,9 +140,10 @@
         self, exchange: Exchange, attempt: TargetAttempt, head: ResponseHead
     ) -> bool:
         """Forward a response that is no event stream; return whether it was sent to the caller."""
-        body = await attempt.connection.read_body()
-        if exchange.responder.started or head.status == 200:
+        if exchange.responder.started or 200 <= head.status < 300:
+            attempt.failed = True
             return False
+        body = await attempt.connection.read_body()
         exchange.send_response(head, body)
         return True
 
@@ -151,26 +153,44 @@
         target: Target,
         attempt: TargetAttempt,
         head: ResponseHead,
-        last_event_id: int | None,
     ) -> tuple[bool, int | None]:
         """Forward whole events as they arrive; the return values are those of `stream_from`."""
-        exchange.forwarded_event_id = last_event_id
         if exchange.route.resumable and not exchange.software:
             software = target.record.software
             self.origins.record(exchange.attempt.id, software, exchange.attempt_count)
-        if not exchange.responder.started:
-            exchange.responder.start(head.status, head.headers.end_to_end())
         parser = EventParser()
         async for chunk in attempt.connection.body_chunks():
             for event in parser.feed(chunk):
+                if not self.continues(exchange, event):
+                    attempt.outcome = "foreign event: other bytes, or an id that does not follow"
+                    attempt.failed = True
+                    return False, exchange.forwarded_event_id
                 exchange.software = exchange.software or target.record.software
+                self.start_response(exchange, head)
                 await exchange.responder.write(event.raw)
                 if event.id is not None:
                     exchange.forwarded_event_id = event.id
         if parser.rest.strip():
             attempt.outcome = "ended inside an event"
             return False, exchange.forwarded_event_id
+        if exchange.forwarded_event_id is None:
+            # A resumed stream may have nothing left, a new one has at least one event.
+            attempt.outcome = "no events"
+            attempt.failed = True
+            return False, None
+        self.start_response(exchange, head)
         exchange.responder.finish()
         self.attempts.record_completion(exchange)
         exchange.log_end(head.status, "streamed by a target")
         return True, exchange.forwarded_event_id
+
+    def start_response(self, exchange: Exchange, head: ResponseHead) -> None:
+        """Send the head of the first target that has an event, unless it was sent before."""
+        if not exchange.responder.started:
+            exchange.responder.start(head.status, head.headers.end_to_end())
+
+    def continues(self, exchange: Exchange, event: StreamEvent) -> bool:
+        """Return whether an event is the next one of a stream, or a comment between its events."""
+        if event.spliced:
+            return False
+        return event.is_comment() or follows(exchange.forwarded_event_id, event.id)
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -47,6 +47,7 @@
 
 # Header fields, in lower case, that the product sets itself instead of copying the caller's.
 SET_BY_PRODUCT = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), PRIORITY.lower()})
+EVENT_STREAM = "text/event-stream"
 WEIGHT_VERSIONS_LINE = WEIGHT_VERSIONS.lower() + ":"
 
 
@@ -97,6 +98,8 @@
         no limit.
     leaving : bool
         Whether the target states that it is about to stop.
+    has_events : bool
+        Whether the body may be a stream of events: no other type is named.
     """
 
     status: int
@@ -106,6 +109,7 @@
     load: tuple[int, int, int] | None
     limit_per_s: float | None = None
     leaving: bool = False
+    has_events: bool = True
 
 
 @attrs.frozen
@@ -268,15 +272,18 @@
 
 def read_response_head(status: int, headers: Headers) -> TargetResponseHead:
     """Return the decoded head of a response of a target."""
+    stamps = headers.values(SERVER_STAMP)
     return TargetResponseHead(
         status=status,
         not_run=headers.get(NOT_EXECUTED) is not None or status == 421,
-        stamp=headers.get(SERVER_STAMP, ""),
+        # A head that names two is made of the heads of two responses.
+        stamp=stamps[0] if len(stamps) == 1 else "",
         weight_version=read_number(headers.get(WEIGHT_VERSIONS)),
         load=parse_load(headers.get(SERVER_LOAD)),
         limit_per_s=parse_rate(headers.get(SERVER_LIMIT)),
         # A response with status 421 is that of another target, which has the address now.
         leaving=status != 421 and headers.get(SERVER_LEAVING, "").strip() == "1",
+        has_events=EVENT_STREAM in headers.get("content-type", EVENT_STREAM).lower(),
     )
 
 
