Reject a response whose head holds the head of another one

Here: a head that is cut and closed failed already, at each of its bytes. One that is cut in a value or in the reason phrase and goes on with another head was taken for one response, with the stamp of the first and the length of the second.

Change: a status line in a field's value or in the reason phrase ends the exchange as an invalid response.

--- a/tests/builders/scripted_target.py
+++ b/tests/builders/scripted_target.py
@@ -8,6 +8,8 @@
 
 __all__ = ["ScriptedTarget", "chunk", "event", "head", "stream_head"]
 
+# Lets each part of a response arrive by itself.
+PART_PAUSE_S = 0.005
 HEAD_END = b"\r\n\r\n"
 
 
@@ -43,8 +45,9 @@
 
     Attributes
     ----------
-    script : list of bytes
-        Responses, one for each connection; without any left, the connection is closed.
+    script : list of bytes or list
+        Responses, one for each connection, as bytes or as parts that are sent one after another;
+        without any left, the connection is closed.
     requests : list of bytes
         Heads of the requests that arrived.
     reset : bool
@@ -85,8 +88,11 @@
                 if line.startswith(b"content-length:"):
                     await reader.readexactly(int(line.partition(b":")[2]))
             self.requests.append(request)
-            writer.write(self.script.pop(0) if self.script else b"")
-            await writer.drain()
+            response = self.script.pop(0) if self.script else b""
+            for part in [response] if isinstance(response, bytes) else response:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(PART_PAUSE_S)
         if self.reset:
             writer.transport.abort()
         writer.close()
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -1,6 +1,7 @@
 """Client connections, which carry one request at a time."""
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import AsyncIterator
 
@@ -23,6 +24,9 @@
 # Number of the newest requests of a connection whose ids are kept. A late response to an older one
 # is not expected any more.
 MAX_CARRIED_IDS = 128
+# A server that stops in the middle of a head may go on with another head, whose
+# status line then stands in the value of a field or in the reason phrase.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 # Longest idle time for servers that announce none.
 DEFAULT_MAX_IDLE_S = 4.0
 
@@ -152,6 +156,7 @@
         self.head: ResponseHead | None = None
         self.head_waiter: asyncio.Future | None = None
         self.fields: list[tuple[str, str]] = []
+        self.reason = b""
         self.until_close = False
         self.complete = False
         self.failure: ResponseIncomplete | None = None
@@ -207,9 +212,21 @@
             self.reusable = False
             return
         self.fields = []
+        self.reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Check the reason phrase of a response, which may arrive in parts."""
+        self.reason += reason
+        self.check_spliced(self.reason)
+
+    def check_spliced(self, part: bytes) -> None:
+        """Fail a response whose head holds the status line of another one."""
+        if b"HTTP/1" in part and STATUS_LINE.search(part) and self.failure is None:
+            self.fail("the head holds the head of another response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
+        self.check_spliced(value)
         if self.failure is not None:
             return
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
