Bound what is kept of the load and the groups of a target

Seen (review, found beside the cases): 8 responses with X-Server-Load: 200000000,0,8 took a gateway to 1,283 MB, since the planner made a list entry for each request; and the groups of a target were never forgotten.

Change: a load of a million requests or more is malformed, requests of others count up to four for each slot, and a target keeps its 512 newest groups.

--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -200,7 +200,7 @@
         begun_with = state.progress.software
         text = state.begin_run(target)
         target.in_flight += 1
-        target.groups.add(state.item.group)
+        target.record_group(state.item.group)
         log_event(
             events.ITEM_STARTED,
             item=item_id,
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -17,6 +17,8 @@
 LOAD_MAX_AGE_S = 0.5
 # Expected remaining time of another process's request at a target.
 OTHER_REQUEST_S = 0.5
+# Requests of other processes that count for each slot. More of them change no decision.
+MAX_OTHERS_PER_SLOT = 4
 
 
 class ItemScheduler:
@@ -147,7 +149,7 @@
     """
     others = 0
     if target.load is not None and now - target.load.at < LOAD_MAX_AGE_S:
-        others = target.other_requests
+        others = min(target.other_requests, MAX_OTHERS_PER_SLOT * target.record.slots)
     return EngineState(
         id=target.id,
         slots=target.record.slots,
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -48,6 +48,8 @@
 # Header fields, in lower case, that the product sets itself instead of copying the caller's.
 SET_BY_PRODUCT = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), PRIORITY.lower()})
 EVENT_STREAM = "text/event-stream"
+# No target has a million requests.
+MAX_LOAD_DIGITS = 6
 WEIGHT_VERSIONS_LINE = WEIGHT_VERSIONS.lower() + ":"
 
 
@@ -291,7 +293,7 @@
     """Return the three numbers of a load field, or None if it is missing or malformed."""
     if text is None:
         return None
-    numbers = [read_number(part.strip()) for part in text.split(",")]
+    numbers = [read_number(part.strip(), MAX_LOAD_DIGITS) for part in text.split(",")]
     if len(numbers) != 3 or None in numbers:
         return None
     return numbers[0], numbers[1], numbers[2]
--- a/turmericreach/services/target.py
+++ b/turmericreach/services/target.py
@@ -4,6 +4,8 @@
 
 __all__ = ["LoadReport", "Target", "TargetRecord"]
 
+# Newest groups whose prompt a target is taken to hold; its memory holds fewer.
+MAX_GROUPS = 512
 # Weight of the newest value in the moving average of response times.
 LATENCY_SMOOTHING = 0.3
 # Weight of the newest request in the share of failures; about the last ten requests count.
@@ -118,8 +120,8 @@
         Loop time of the last event or response from the target.
     other_requests : int
         Number of requests of other processes at the target, as of its last load report.
-    groups : set of str
-        Groups of items whose prompt the target has read.
+    groups : dict of str to None
+        Newest groups of items whose prompt the target has read, the oldest first.
     """
 
     record: TargetRecord
@@ -133,7 +135,7 @@
     failure_share: float = 0.0
     last_response_at: float = float("-inf")
     other_requests: int = 0
-    groups: set[str] = attrs.field(factory=set)
+    groups: dict[str, None] = attrs.field(factory=dict)
 
     @property
     def id(self) -> str:
@@ -159,6 +161,13 @@
         """Record that an event or a response has arrived from the target."""
         self.last_response_at = now
 
+    def record_group(self, group: str) -> None:
+        """Record that the target reads the prompt of a group, and forget the oldest if needed."""
+        self.groups.pop(group, None)
+        self.groups[group] = None
+        if len(self.groups) > MAX_GROUPS:
+            del self.groups[next(iter(self.groups))]
+
     def record_outcome(self, failed: bool) -> None:
         """Add the outcome of a request to the share of failures."""
         self.failure_share += FAILURE_SMOOTHING * (float(failed) - self.failure_share)
