Let living peers read large messages slowly

Cause: TCP_USER_TIMEOUT is 2 s, and the kernel counts the time for which a living reader's window is closed. Targets that read a large body slowly were taken for lost in the same way.

Change: 30 s for responses and request bodies from 16 KiB on, until the next request on the connection.

--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -11,7 +11,11 @@
 from turmericreach.http1.headers import Headers, encode_headers
 from turmericreach.http1.limits import BufferBudget, FramingCount, ResponseLimits
 from turmericreach.http1.numbers import read_number
-from turmericreach.http1.sockets import set_socket_options
+from turmericreach.http1.sockets import (
+    LARGE_MESSAGE_BYTES,
+    allow_slow_reader,
+    set_socket_options,
+)
 from turmericreach.verdicts import TurmericreachError
 
 __all__ = ["ClientConnection", "ConnectFailed", "ResponseHead", "ResponseIncomplete", "connect"]
@@ -94,6 +98,8 @@
         Called with the connection when it is closed while it is idle in a pool.
     active : bool
         Whether a request has been sent.
+    sends_large_body : bool
+        Whether the server may read the body of the present request slowly.
     echo : tuple of str or None
         Header field and value that identify the response to the present request. The value is empty
         for a request without an id, whose response names none.
@@ -144,6 +150,7 @@
         self.requests = 0
         self.on_idle_closed = None
         self.verified_run = ""
+        self.sends_large_body = False
         self.carried: dict[tuple[str, str], None] = {}
         self.reset_exchange()
 
@@ -321,6 +328,10 @@
         head = [*fields]
         if body or method in ("POST", "PUT", "PATCH"):
             head.append(("Content-Length", str(len(body))))
+        sends_large_body = len(body) >= LARGE_MESSAGE_BYTES
+        if sends_large_body != self.sends_large_body:
+            self.sends_large_body = sends_large_body
+            allow_slow_reader(self.transport, sends_large_body)
         self.transport.write(encode_headers(f"{method} {target} HTTP/1.1", head) + body)
         self.head_waiter = self.loop.create_future()
         await self.head_waiter
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -11,7 +11,11 @@
 from turmericreach.http1.headers import Headers, encode_headers
 from turmericreach.http1.limits import FramingCount
 from turmericreach.http1.numbers import read_number
-from turmericreach.http1.sockets import set_socket_options
+from turmericreach.http1.sockets import (
+    LARGE_MESSAGE_BYTES,
+    allow_slow_reader,
+    set_socket_options,
+)
 from turmericreach.telemetry import events, log_event
 
 __all__ = ["HttpServer", "ServerLimits"]
@@ -70,6 +74,8 @@
         Set while the send buffer has room.
     in_message : bool
         Whether a request has been received in part.
+    sent_bytes : int
+        Bytes of responses that were sent since the last request that no other one preceded.
     head_bytes : int
         Size of the request target and the complete header fields received so far.
     framing : FramingCount
@@ -90,6 +96,7 @@
         self.can_write = asyncio.Event()
         self.can_write.set()
         self.in_message = False
+        self.sent_bytes = 0
         self.url = b""
         self.fields: list[tuple[str, str]] = []
         self.head_bytes = 0
@@ -153,6 +160,8 @@
     def on_message_begin(self) -> None:
         """Start to collect a request."""
         self.in_message = True
+        if self.current is None and not self.queued and not self.closed:
+            self.count_sent(-self.sent_bytes)
         self.url = b""
         self.fields = []
         self.head_bytes = 0
@@ -265,8 +274,21 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closed."""
-        if not self.closed:
-            self.transport.write(data)
+        if self.closed:
+            return
+        self.count_sent(len(data))
+        self.transport.write(data)
+
+    def count_sent(self, size: int) -> None:
+        """Count bytes that are sent, and let the client read a large response slowly.
+
+        A client that sends another request has read the responses before.
+        """
+        was_large = self.sent_bytes >= LARGE_MESSAGE_BYTES
+        self.sent_bytes += size
+        is_large = self.sent_bytes >= LARGE_MESSAGE_BYTES
+        if is_large != was_large:
+            allow_slow_reader(self.transport, is_large)
 
     async def drain(self) -> None:
         """Wait until the send buffer has room, and close the connection if that takes too long."""
--- a/turmericreach/http1/sockets.py
+++ b/turmericreach/http1/sockets.py
@@ -2,10 +2,14 @@
 
 import socket
 
-__all__ = ["set_socket_options"]
+__all__ = ["LARGE_MESSAGE_BYTES", "allow_slow_reader", "set_socket_options"]
 
 # The kernel closes a connection whose peer acknowledges nothing for this long.
 USER_TIMEOUT_MS = 2000
+# The kernel counts the time for which a living peer that reads slowly has its window closed, too.
+SLOW_READER_TIMEOUT_MS = 30_000
+# Smaller messages fit into the windows of all peers.
+LARGE_MESSAGE_BYTES = 16_384
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -22,3 +26,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def allow_slow_reader(transport, allowed: bool) -> None:
+    """Set whether the peer of a connection may read what is sent to it slowly.
+
+    While it may, the loss of the peer is detected later.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family != socket.AF_INET:
+        return
+    timeout_ms = SLOW_READER_TIMEOUT_MS if allowed else USER_TIMEOUT_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
