Complete the response to a HEAD request at its head

Found by reading in the review: a response to HEAD with a length was waited for until the time limit, since the parser expects the body that the length names.

Result: test_response_to_head_is_complete_without_its_body failed before and passes now.

--- a/tests/http1/test_slow_readers.py
+++ b/tests/http1/test_slow_readers.py
@@ -94,3 +94,18 @@
         timeouts.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
     assert timeouts == [2000, 30_000, 2000]
     await server.stop()
+
+
+async def test_response_to_head_is_complete_without_its_body(pool):
+    """Guards against a wait for a body that never comes."""
+
+    async def respond(request, responder):
+        responder.send(200, body=b"a body that is left out")
+
+    server = HttpServer(respond)
+    address = f"{LOOPBACK}:{await server.start(f'{LOOPBACK}:0')}"
+    async with asyncio.timeout(2):
+        for _ in range(2):
+            head, body = await pool.fetch(address, "HEAD", "/", [("Host", "h")])
+            assert (head.status, head.headers.get("content-length"), body) == (200, "23", b"")
+    await server.stop()
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -100,6 +100,8 @@
         Whether a request has been sent.
     sends_large_body : bool
         Whether the server may read the body of the present request slowly.
+    method : str
+        Method of the present request.
     echo : tuple of str or None
         Header field and value that identify the response to the present request. The value is empty
         for a request without an id, whose response names none.
@@ -158,6 +160,7 @@
         """Reset the state of the previous request and its response."""
         self.parser = httptools.HttpResponseParser(self)
         self.active = False
+        self.method = ""
         self.echo: tuple[str, str] | None = None
         self.mismatched = False
         self.head: ResponseHead | None = None
@@ -255,6 +258,10 @@
             self.reusable = False
         self.apply_keep_alive(headers)
         self.head = ResponseHead(status, headers)
+        if self.method == "HEAD":
+            # The parser does not know that no body follows, so the connection is not used again.
+            self.reusable = False
+            self.finish()
         if self.head_waiter is not None and not self.head_waiter.done():
             self.head_waiter.set_result(None)
 
@@ -328,6 +335,7 @@
         head = [*fields]
         if body or method in ("POST", "PUT", "PATCH"):
             head.append(("Content-Length", str(len(body))))
+        self.method = method
         sends_large_body = len(body) >= LARGE_MESSAGE_BYTES
         if sends_large_body != self.sends_large_body:
             self.sends_large_body = sends_large_body
