Close the streams that tests leave before the interpreter parses a module

Cause, as far as runs show: a StreamWriter that is collected after its loop is closed raises an error, and its traceback needs a syntax tree; if that happens while the interpreter builds one for a rewritten module, its depth counter is wrong.

--- a/tests/builders/scripted_target.py
+++ b/tests/builders/scripted_target.py
@@ -82,17 +82,23 @@
 
     async def serve(self, reader, writer):
         """Respond to one request."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            request = await reader.readuntil(HEAD_END)
-            for line in request.lower().split(b"\r\n"):
-                if line.startswith(b"content-length:"):
-                    await reader.readexactly(int(line.partition(b":")[2]))
-            self.requests.append(request)
-            response = self.script.pop(0) if self.script else b""
-            for part in [response] if isinstance(response, bytes) else response:
-                writer.write(part)
-                await writer.drain()
-                await asyncio.sleep(PART_PAUSE_S)
-        if self.reset:
-            writer.transport.abort()
-        writer.close()
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self.respond(reader, writer)
+            if self.reset:
+                writer.transport.abort()
+        finally:
+            writer.close()
+
+    async def respond(self, reader, writer):
+        """Read a request and send the next response of the script."""
+        request = await reader.readuntil(HEAD_END)
+        for line in request.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                await reader.readexactly(int(line.partition(b":")[2]))
+        self.requests.append(request)
+        response = self.script.pop(0) if self.script else b""
+        for part in [response] if isinstance(response, bytes) else response:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(PART_PAUSE_S)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,11 @@
 """Deselects the known failing tests that are listed by id in KNOWN-RED.txt."""
 
+import gc
 import os
 from pathlib import Path
 
+import pytest
+
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 # Environment variable that also runs the listed tests, for example while fixing one of them.
 RUN_ALL = "RUN_KNOWN_RED"
@@ -39,3 +42,14 @@
     """Print the ids of the deselected tests."""
     for name in getattr(config, "known_red", []):
         terminalreporter.write_line(f"KNOWN RED, not run: {name}")
+
+
+@pytest.hookimpl(trylast=True)
+def pytest_runtest_teardown():
+    """Collect what a test has left.
+
+    A stream that is collected after its event loop is closed raises an error. If that happens while
+    the interpreter builds a syntax tree, the traceback of the error needs another one, and CPython
+    3.11.6 fails with "AST constructor recursion depth mismatch".
+    """
+    gc.collect(1)
