Let a former owner check its ownership before it lists results again

Found by reading in the review: a former owner whose append fails reads the results and appends once more, so that the fence of a takeover does not keep it from listing results that the new owner learns of only at its own next append.

Change: after a conflict the record of the lot is read before the next append; if another process owns the lot, the run stops and the write is cancelled.

Result: test_former_owner_lists_nothing_before_it_has_checked_its_ownership fails on the code before by its construction (not run there) and passes.

--- a/tests/batches/test_log.py
+++ b/tests/batches/test_log.py
@@ -6,6 +6,7 @@
 
 from turmericreach.batches.log import BatchLog, SegmentConflict
 from turmericreach.batches.model import ItemResult
+from turmericreach.batches.result_writer import ResultWriter
 
 
 def results(*names):
@@ -122,3 +123,19 @@
     await new.fence()
     assert [result.item for result in new.results] == ["a"]
     assert store.names("lot-lot") == ["000000", "000001"]
+
+
+async def test_former_owner_lists_nothing_before_it_has_checked_its_ownership(client, store):
+    """Guards against results of a former owner behind the fence of the new one."""
+    former, owner = BatchLog(client, "lot", "h1"), BatchLog(client, "lot", "h2")
+    await owner.fence()
+    checked = asyncio.Event()
+    writer = ResultWriter(former, 1, lambda results: True, lambda: None, checked.wait)
+    writer.add(results("a")[0])
+    task = asyncio.create_task(writer.run())
+    await asyncio.sleep(0.4)
+    assert store.names("lot-lot") == ["000000"]
+    checked.set()
+    await asyncio.sleep(0.2)
+    assert store.names("lot-lot") == ["000000", "000001"]
+    await task
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -272,7 +272,7 @@
             pool=self.pool,
             scorer_calls=self.scorer_calls,
             on_wake=self.scheduler.wake,
-            on_conflict=lambda: self.check_owner(spec.id),
+            on_conflict=lambda: self.confirm_owner(spec.id),
             texts=self.texts,
         )
 
@@ -297,6 +297,19 @@
         run.stop(reason)
         self.scheduler.wake()
 
+    async def confirm_owner(self, lot: str) -> None:
+        """Read a lot again until the store responds; its run stops if another process owns it."""
+        while True:
+            try:
+                if await self.fetch(lot) is None:
+                    self.stop_run(lot, "removed")
+                break
+            except MetadataError:
+                # The client logs that the store is unavailable.
+                await asyncio.sleep(START_RETRY_S)
+        # A run that was stopped is cancelled here, before it writes anything.
+        await asyncio.sleep(0)
+
     def check_owner(self, lot: str) -> None:
         """Read a lot again in the background, since another process may own it."""
         task = asyncio.get_running_loop().create_task(self.fetch_ignoring_errors(lot))
--- a/turmericreach/batches/result_writer.py
+++ b/turmericreach/batches/result_writer.py
@@ -1,7 +1,7 @@
 """Writes the results of a lot to its log, several at a time."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from turmericreach.batches.log import BatchLog, SegmentConflict
 from turmericreach.batches.model import ItemResult
@@ -34,8 +34,9 @@
         Returns whether any of the given results belongs to a complete group.
     on_listed : callable
         Called after each write.
-    on_conflict : callable
-        Called when another process has listed results of the lot.
+    on_conflict : coroutine function
+        Called when another process has listed results of the lot; returns once it is certain that
+        the lot still runs here, and is cancelled if it does not.
 
     Attributes
     ----------
@@ -53,7 +54,7 @@
         total: int,
         completes_group: Callable[[list[ItemResult]], bool],
         on_listed: Callable[[], None],
-        on_conflict: Callable[[], None],
+        on_conflict: Callable[[], Awaitable[None]],
     ):
         self.log = log
         self.total = total
@@ -114,7 +115,8 @@
                 break
             except SegmentConflict:
                 await self.reload()
-                self.on_conflict()
+                # A former owner must not list results that the new one does not know of.
+                await self.on_conflict()
             except MetadataError:
                 # The client logs that the store is unavailable; the write is retried.
                 await asyncio.sleep(RETRY_PAUSE_S)
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -1,7 +1,7 @@
 """Execution of one lot by its owner."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from turmericreach.batches.item_run import ItemOutcome, RunConstraints, RunReport, run_item
 from turmericreach.batches.items import ItemPhase, ItemState, ItemTable
@@ -67,7 +67,7 @@
         pool: ConnectionPool,
         scorer_calls: ScorerCalls,
         on_wake: Callable[[], None],
-        on_conflict: Callable[[], None],
+        on_conflict: Callable[[], Awaitable[None]],
         texts: TextMemory,
     ):
         self.items = items
