Keep lots that are not ended

Result: test_open_lots_are_kept_after_their_lifetime (its first lot was removed by the rule before).

--- /dev/null
+++ b/tests/batches/test_supervisor.py
@@ -0,0 +1,55 @@
+"""Tests of what the coordinator does with the lots of others."""
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from turmericreach.batches.records import BatchRecord
+from turmericreach.batches.supervisor import LotSupervisor
+from turmericreach.coordination.peers import PeerTable
+from turmericreach.metadata import StoredObject
+
+LIFETIME_S = 120.0
+
+
+def record(lot, age_s, ended=False, owner="h1"):
+    """Return the record of a lot that was accepted some time ago."""
+    spec = {"submittedMs": int((time.time() - age_s) * 1000), "model": "m", "owner": owner}
+    stored = StoredObject("lots", lot, 7, spec, None)
+    return BatchRecord(lot, owner, ended, 1, 7, stored)
+
+
+def registry(*records):
+    """Return a registry that notes what is removed and reassigned."""
+    made = SimpleNamespace(records={record.lot: record for record in records})
+    made.collected, made.assigned = [], []
+
+    async def collect(lot):
+        made.collected.append(lot)
+
+    async def write_status(lot, owner, timeout_s):
+        made.assigned.append((lot, owner))
+
+    made.collect, made.write_status = collect, write_status
+    return made
+
+
+@pytest.fixture
+async def peers():
+    """Return the peers of host h2, of which none is known."""
+    client = SimpleNamespace(last_response_age_s=lambda: 0.0, recovered_at=float("-inf"))
+    return PeerTable("h2", "127.0.0.1:9", "i", 1.0, client)
+
+
+async def test_open_lots_are_kept_after_their_lifetime(peers):
+    """Guards against results that a trainer can no longer read though its lot is open."""
+    lots = [
+        record("open", 3 * LIFETIME_S),
+        record("ended", 3 * LIFETIME_S, ended=True),
+        record("young", LIFETIME_S, ended=True),
+        record("forgotten", 100_000.0),
+    ]
+    known = registry(*lots)
+    await LotSupervisor(known, peers, LIFETIME_S).collect()
+    assert known.collected == ["ended", "forgotten"]
--- a/turmericreach/batches/supervisor.py
+++ b/turmericreach/batches/supervisor.py
@@ -19,6 +19,8 @@
 COLLECT_INTERVAL_S = 5.0
 # Added to a lot's lifetime to allow for clock differences between hosts.
 COLLECT_MARGIN_S = 30.0
+# A lot that no trainer has ended is kept for this long, or twice its lifetime if that is longer.
+OPEN_LIFETIME_S = 86_400.0
 
 
 class LotSupervisor:
@@ -142,13 +144,13 @@
         self.queue_notifications(changed, record)
 
     async def collect(self) -> None:
-        """Remove lots whose lifetime is over; lots that have not ended are kept twice as long."""
+        """Remove lots whose lifetime is over; lots that have not ended are kept for a day."""
         for record in list(self.registry.records.values()):
             if record.object is None:
                 continue
             if record.age_s() < self.lifetime_s + COLLECT_MARGIN_S:
                 continue
-            if not record.ended and record.age_s() < 2 * self.lifetime_s:
+            if not record.ended and record.age_s() < max(2 * self.lifetime_s, OPEN_LIFETIME_S):
                 continue
             try:
                 await self.registry.collect(record.lot)
