Reassign no lots before a stalled coordinator has heard of the others

Found by reading in the review: a coordinator that was stopped by a signal for over 1.6 s takes all others for lost when it runs again, and may reassign all lots to itself before it learns that it was replaced.

Change: after a second in which the process did not run, lots are reassigned only 1.5 s later, when the others have answered; the stall is logged.

Result: test_lots_keep_their_owners_while_the_coordinator_has_not_heard_of_them.

--- a/tests/batches/test_supervisor.py
+++ b/tests/batches/test_supervisor.py
@@ -1,5 +1,6 @@
 """Tests of what the coordinator does with the lots of others."""
 
+import asyncio
 import time
 from types import SimpleNamespace
 
@@ -53,3 +54,23 @@
     known = registry(*lots)
     await LotSupervisor(known, peers, LIFETIME_S).collect()
     assert known.collected == ["ended", "forgotten"]
+
+
+async def test_lots_keep_their_owners_while_the_coordinator_has_not_heard_of_them(peers):
+    """Guards against a stopped coordinator that takes all lots when it runs again."""
+    known = registry(record("lot1", 1.0, owner="h1"))
+    supervisor = LotSupervisor(known, peers, LIFETIME_S)
+    run = asyncio.create_task(peers.run())
+    await asyncio.sleep(0.05)
+    # The process does not run, as if it was stopped by a signal.
+    asyncio.get_running_loop().call_soon(time.sleep, 1.2)
+    await asyncio.sleep(0)
+    await supervisor.replace_owners()
+    await asyncio.sleep(0.3)
+    await supervisor.replace_owners()
+    assert known.assigned == []
+    assert peers.is_stalled()
+    await asyncio.sleep(1.4)
+    await supervisor.replace_owners()
+    assert known.assigned == [("lot1", "h2")]
+    run.cancel()
--- a/turmericreach/batches/supervisor.py
+++ b/turmericreach/batches/supervisor.py
@@ -111,7 +111,13 @@
             del self.unsent[key]
 
     async def replace_owners(self) -> None:
-        """Reassign the lots of owners that are unreachable, stopping, or cut off from the store."""
+        """Reassign the lots of owners that are unreachable, stopping, or cut off from the store.
+
+        After a time in which this process did not run, nothing is known of the others yet, and
+        another one may have become the coordinator.
+        """
+        if self.peers.is_stalled():
+            return
         writers = self.peers.writers()
         for record in list(self.registry.records.values()):
             if record.ended or record.object is None or record.owner in writers:
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -52,6 +52,8 @@
 COORDINATOR_STORE_AGE_S = 1.8
 # After an outage of the store, peers need this long to report that it responds to them again.
 RECOVERY_GRACE_S = 1.5
+# A process that has not run for this long has heard of no other one meanwhile.
+STALL_S = 1.0
 # Time from the store response that permits an order until the order has reached its target.
 ORDER_MARGIN_S = 1.0
 
@@ -101,6 +103,10 @@
         Loop time in seconds of the coordinator's last ping to this process.
     last_order_at : float
         Loop time in seconds of the last order of this process to a target.
+    ticked_at : float or None
+        Loop time in seconds at which `run` last ran, None before its start.
+    stalled_at : float
+        Loop time in seconds at which it last ran after a time in which the process did not.
     """
 
     def __init__(
@@ -130,6 +136,8 @@
         self.last_coordinator_ping_at = float("-inf")
         self.last_order_at = float("-inf")
         self.pings: set[asyncio.Task] = set()
+        self.ticked_at: float | None = None
+        self.stalled_at = float("-inf")
 
     # Registration
 
@@ -321,6 +329,10 @@
         loop = asyncio.get_running_loop()
         while True:
             now = loop.time()
+            if self.ticked_at is not None and now - self.ticked_at > STALL_S:
+                self.stalled_at = now
+                log_event(events.PROCESS_STALLED, seconds=round(now - self.ticked_at, 3))
+            self.ticked_at = now
             self.hub = self.choose_hub(now)
             for peer in list(self.peers.values()):
                 if now - peer.last_ping_at < self.ping_interval_s(peer.host):
@@ -331,6 +343,13 @@
                 task.add_done_callback(self.pings.discard)
             await asyncio.sleep(PING_TICK_S)
 
+    def is_stalled(self) -> bool:
+        """Return whether this process has not run for a while and has not heard of others since."""
+        now = asyncio.get_running_loop().time()
+        if self.ticked_at is not None and now - self.ticked_at > STALL_S:
+            return True
+        return now - self.stalled_at < RECOVERY_GRACE_S
+
     async def try_ping(self, peer: Peer) -> None:
         """Ping a peer; an unexpected error ends this ping alone."""
         try:
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -91,6 +91,13 @@
     "{task} failed and is restarted: {error}",
     "Report the event and its fields as a bug.",
 )
+PROCESS_STALLED = Event(
+    "TR2114",
+    "process_stalled",
+    Level.WARNING,
+    "the process did not run for {seconds:.1f} s",
+    "Check the load of the host, and whether the process was stopped.",
+)
 UNEXPECTED_ERROR = Event(
     "TR2113",
     "unexpected_error",
