Let no value of a peer add header fields to a request

Change: a scorer's id and host are checked when its lot is submitted, trailers are read and dropped, and encode_headers rejects line ends, null characters and what is no latin-1 with a typed error.

--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -323,24 +323,27 @@
         ------
         ResponseIncomplete
             If the connection is lost before the head is received. The request may have run.
+        HeaderError
+            If a field cannot be sent; nothing was sent.
         """
         if self.closed:
             raise ResponseIncomplete("connection lost")
+        lines = [*fields]
+        if body or method in ("POST", "PUT", "PATCH"):
+            lines.append(("Content-Length", str(len(body))))
+        head = encode_headers(f"{method} {target} HTTP/1.1", lines)
         self.reset_exchange()
         self.active = True
         self.reusable = True
         self.requests += 1
         self.echo = echo
         self.record_carried(echo)
-        head = [*fields]
-        if body or method in ("POST", "PUT", "PATCH"):
-            head.append(("Content-Length", str(len(body))))
         self.method = method
         sends_large_body = len(body) >= LARGE_MESSAGE_BYTES
         if sends_large_body != self.sends_large_body:
             self.sends_large_body = sends_large_body
             allow_slow_reader(self.transport, sends_large_body)
-        self.transport.write(encode_headers(f"{method} {target} HTTP/1.1", head) + body)
+        self.transport.write(head + body)
         self.head_waiter = self.loop.create_future()
         await self.head_waiter
         if self.head is None:
--- a/turmericreach/http1/headers.py
+++ b/turmericreach/http1/headers.py
@@ -3,7 +3,16 @@
 from collections.abc import Iterable, Iterator
 from urllib.parse import parse_qsl
 
-__all__ = ["CONNECTION_HEADERS", "Headers", "encode_headers", "query_value", "split_target"]
+from turmericreach.verdicts import TurmericreachError
+
+__all__ = [
+    "CONNECTION_HEADERS",
+    "HeaderError",
+    "Headers",
+    "encode_headers",
+    "query_value",
+    "split_target",
+]
 
 # Fields that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
@@ -21,6 +30,10 @@
 )
 
 
+class HeaderError(TurmericreachError):
+    """A field cannot be sent, since its value would be taken for something else."""
+
+
 class Headers:
     """Ordered header fields with case-insensitive lookup.
 
@@ -80,11 +93,25 @@
 
 
 def encode_headers(start_line: str, fields: Iterable[tuple[str, str]]) -> bytes:
-    """Return the encoded head of a message: start line, header fields and empty line."""
+    """Return the encoded head of a message: start line, header fields and empty line.
+
+    Raises
+    ------
+    HeaderError
+        If a line holds a line end or a null character, or cannot be encoded. A value of a peer that
+        holds a line end would add fields to the message.
+    """
     lines = [start_line]
     for name, value in fields:
         lines.append(f"{name}: {value}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count("\r") != breaks or head.count("\n") != breaks or "\0" in head:
+        raise HeaderError("a line of the head holds a line end or a null character")
+    try:
+        return (head + "\r\n\r\n").encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise HeaderError("a line of the head cannot be encoded") from error
 
 
 def split_target(target: str) -> tuple[str, str]:
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -74,6 +74,8 @@
         Set while the send buffer has room.
     in_message : bool
         Whether a request has been received in part.
+    head_complete : bool
+        Whether the head of the request being received is complete.
     sent_bytes : int
         Bytes of responses that were sent since the last request that no other one preceded.
     head_bytes : int
@@ -99,6 +101,7 @@
         self.sent_bytes = 0
         self.url = b""
         self.fields: list[tuple[str, str]] = []
+        self.head_complete = False
         self.head_bytes = 0
         self.framing = FramingCount()
         self.body = bytearray()
@@ -164,6 +167,7 @@
             self.count_sent(-self.sent_bytes)
         self.url = b""
         self.fields = []
+        self.head_complete = False
         self.head_bytes = 0
         self.framing = FramingCount()
         self.discard_body()
@@ -176,13 +180,15 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         self.count_head_bytes(len(name) + len(value) + 4)
-        if not self.rejected:
+        # Trailers belong to the framing of the body and add no fields to the request.
+        if not self.rejected and not self.head_complete:
             self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Check the announced length and the host field, and send 100 Continue if requested."""
         if self.rejected:
             return
+        self.head_complete = True
         headers = Headers(self.fields)
         announced = read_number(headers.get("content-length")) or 0
         if announced > self.server.limits.body_bytes:
--- a/turmericreach/platform/lots.py
+++ b/turmericreach/platform/lots.py
@@ -25,6 +25,8 @@
 MAX_ITEMS = 20_000
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 PATH = re.compile(r"/[\x21-\x7e]*")
+# Value of a header field that is sent for a trainer.
+FIELD_TOKEN = re.compile(r"[\x21-\x7e]{1,256}")
 LOT_ID = re.compile(r"[A-Za-z0-9_-]{1,128}")
 # Characters of a malformed value that an error shows.
 MAX_SHOWN_CHARS = 100
@@ -120,6 +122,9 @@
 def decode_scorer(fields: Fields) -> Scorer:
     """Return the call that scores an item."""
     path = decode_path(fields)
+    for key in ("id", "host"):
+        if not FIELD_TOKEN.fullmatch(fields.text(key)):
+            raise DecodeError(f"{fields.field_path(key)}: cannot be sent in a header field")
     return Scorer(fields.text("id"), fields.text("host"), path, decode_base64(fields, "body"))
 
 
