Follow no process whose registered address is none

An entry of another writer with a host name or a port out of range as the address of a process was pinged; a host name was looked up, which the platform does not have.

Result: test_process_with_an_odd_address_is_no_peer.

--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -127,6 +127,17 @@
     await check_is_followed(world, [gateway])
 
 
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "host.example:80", "", "\u00e9:1"])
+async def test_process_with_an_odd_address_is_no_peer(world, address):
+    """Guards against pings that look a name up, and against a peer that can never respond."""
+    gateway = await world.add_gateway("g1")
+    for name, value in (("odd", address), ("later", "127.0.0.1:9")):
+        spec = {"address": value, "incarnation": "i"}
+        world.store.put(OWN_KIND, names.HOST_PREFIX + name, spec)
+    await eventually(lambda: "later" in gateway.peers.peers)
+    assert "odd" not in gateway.peers.peers
+
+
 @pytest.mark.parametrize("spec", [b"null", b'{"owner": 5}', b'{"owner": "g1"}', nested(3000)])
 async def test_odd_lot_of_another_writer_leaves_other_lots_served(world, spec):
     """Guards against a coordinator and an owner that stop at an unreadable lot."""
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -16,6 +16,7 @@
     ConnectionPool,
     ResponseIncomplete,
     ResponseLimits,
+    is_address,
 )
 from turmericreach.metadata import Conflict, KindMirror, MetadataClient, MetadataError, StoredObject
 from turmericreach.placement.ownership import choose_owner
@@ -163,7 +164,14 @@
         host = object.name[len(HOST_PREFIX) :]
         spec = object.spec if isinstance(object.spec, dict) else {}
         address, incarnation = spec.get("address"), spec.get("incarnation")
-        if host == self.host or not isinstance(address, str) or not isinstance(incarnation, str):
+        if host == self.host:
+            return
+        if not isinstance(address, str) or not isinstance(incarnation, str):
+            address = ""
+        if not is_address(address):
+            log_event(
+                events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=f"{object.name}: address"
+            )
             return
         known = self.peers.get(host)
         if known is not None and known.address == address and known.incarnation == incarnation:
