--- a/tests/batches/test_reported_load.py
+++ b/tests/batches/test_reported_load.py
@@ -34,3 +34,10 @@
         target.record_group("used")
     assert len(target.groups) <= 512
     assert {"used", "g1999"} <= target.groups.keys()
+
+
+def test_stamp_that_is_too_long_or_stands_twice_is_none():
+    """Guards against scores that fill the memory, and against a head made of two."""
+    for fields in ([("X-Server-Stamp", "s" * 2000)], [("X-Server-Stamp", "a")] * 2):
+        assert wire.read_response_head(200, Headers(fields)).stamp == ""
+    assert wire.read_response_head(200, Headers([("X-Server-Stamp", "a")])).stamp == "a"
--- a/turmericreach/platform/targets.py
+++ b/turmericreach/platform/targets.py
@@ -48,6 +48,8 @@
 # Header fields, in lower case, that the product sets itself instead of copying the caller's.
 SET_BY_PRODUCT = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), PRIORITY.lower()})
 EVENT_STREAM = "text/event-stream"
+# Stamps are kept as the scores of items.
+MAX_STAMP_CHARS = 1024
 # No target has a million requests.
 MAX_LOAD_DIGITS = 6
 WEIGHT_VERSIONS_LINE = WEIGHT_VERSIONS.lower() + ":"
@@ -279,7 +281,7 @@
         status=status,
         not_run=headers.get(NOT_EXECUTED) is not None or status == 421,
         # A head that names two is made of the heads of two responses.
-        stamp=stamps[0] if len(stamps) == 1 else "",
+        stamp=stamps[0] if len(stamps) == 1 and len(stamps[0]) <= MAX_STAMP_CHARS else "",
         weight_version=read_number(headers.get(WEIGHT_VERSIONS)),
         load=parse_load(headers.get(SERVER_LOAD)),
         limit_per_s=parse_rate(headers.get(SERVER_LIMIT)),
