Take a text that mentions a status line for a text

An event with such a text and a change of version would have counted as one that holds the head of another response. Only a field that no event has, directly after the status line, or another line end, tells a head.

--- a/tests/batches/test_event_stream.py
+++ b/tests/batches/test_event_stream.py
@@ -65,6 +65,15 @@
     assert [event.valid for event in events] == [False, True]
 
 
+@pytest.mark.parametrize("end", LINE_ENDS)
+def test_event_whose_text_mentions_a_status_line_is_whole(end):
+    """Guards against an item that can never be done since its text is about responses."""
+    lines = [b"x-weight-versions: 3", b"id: 1", b"data: HTTP/1.1 200 OK", b"data: Host: h", b": c"]
+    for order in (lines, lines[::-1]):
+        (event,), _ = parse(end.join([*order, b"", b""]))
+        assert not event.spliced
+
+
 async def test_result_holds_the_whole_text_of_an_item(world):
     """Guards against a result whose text was cut at a character that ends no line."""
     for engine in ("e1", "e2"):
--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -17,6 +17,8 @@
 SEPARATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2,}")
 # A worker that fails in the middle of an event may send the head of another response there.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
+# Fields of events, and comments.
+EVENT_FIELD = re.compile(rb"(?:id|data|event|retry|x-weight-versions)?:", re.IGNORECASE)
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -129,19 +131,22 @@
             other.append(line)
     if not found:
         return None
-    return StreamEvent(event_id, "\n".join(data), other, raw, valid, is_spliced(raw, other))
+    return StreamEvent(event_id, "\n".join(data), other, raw, valid, is_spliced(raw))
 
 
-def is_spliced(raw: bytes, other_lines: list[str]) -> bool:
+def is_spliced(raw: bytes) -> bool:
     """Return whether the head of another response stands in an event.
 
-    A text may mention a status line. In a head, further fields follow it that no event has, or its
-    line ends in another way than the lines of the event.
+    A text may mention a status line. In a head, a field that no event has follows it, or its line
+    ends in another way than the lines of the event.
     """
     if STATUS_LINE.search(raw) is None:
         return False
-    fields = [line for line in other_lines if not line.startswith(":")]
-    return bool(fields) or len(set(LINE_END.findall(raw))) > 1
+    lines = LINE_END.split(raw)
+    for line, following in zip(lines, lines[1:], strict=False):
+        if STATUS_LINE.search(line) and following and not EVENT_FIELD.match(following):
+            return True
+    return len(set(LINE_END.findall(raw))) > 1
 
 
 def follows(last_event_id: int | None, event_id: int | None) -> bool:
