--- a/turmericreach/telemetry/timeline.py
+++ b/turmericreach/telemetry/timeline.py
@@ -12,7 +12,7 @@
 __all__ = ["LogLine", "build_timeline", "parse_line", "read_lines"]
 
 # Fields that hold the id of a subject.
-SUBJECT_FIELDS = ("request", "item", "lot")
+SUBJECT_FIELDS = ("request", "item", "lot", "subject")
 # Events about other subjects are context if they were logged during the subject's timeline or this
 # many seconds before or after it.
 CONTEXT_MARGIN_S = 3.0
@@ -37,6 +37,9 @@
         "node_stopping",
         "node_stopped",
         "node_not_ready",
+        "process_stalled",
+        "store_object_unreadable",
+        "unexpected_error",
         "log_lines_dropped",
     }
 )
