--- a/tests/node/test_odd_entries.py
+++ b/tests/node/test_odd_entries.py
@@ -219,3 +219,22 @@
     """Guards against an error that ends more than the attempt."""
     with pytest.raises(ConnectFailed):
         await ConnectionPool(0.5).acquire(address)
+
+
+@pytest.mark.parametrize("hint", ["inf", "nan", "1e999", "-5", "9" * 40, "\u00b2", "1e300"])
+async def test_lot_with_an_odd_estimate_is_run(world, hint):
+    """Guards against an accepted lot whose record cannot be read, since its estimate is no number.
+
+    JSON has no infinity; such a value is stored as null.
+    """
+    gateway = await world.add_gateway("g1")
+    odd = item("i1")
+    odd["headers"]["X-Length-Hint"] = hint
+    status = await world.submit(gateway, "lot1", submission([odd]))
+    if status == 400:
+        # The field is not ASCII, so that it could not be sent.
+        assert not hint.isascii()
+        return
+    assert status == 202
+    (result,) = await world.read_all(gateway, "lot1", 1)
+    assert result["state"] == "completed"
--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -15,7 +15,7 @@
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # Ends an event. Further line ends belong to the separator, so that a run of them is one match.
 SEPARATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2,}")
-# A worker that fails in the middle of an event may send the head of another response there.
+# A target that fails in the middle of an event may send the head of another response there.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 # Fields of events, and comments.
 EVENT_FIELD = re.compile(rb"(?:id|data|event|retry|x-weight-versions)?:", re.IGNORECASE)
--- a/turmericreach/batches/text_memory.py
+++ b/turmericreach/batches/text_memory.py
@@ -16,7 +16,7 @@
 MAX_TEXT_BYTES = 500_000
 # Texts of this size are allowed however few tokens an item has.
 MIN_TEXT_BYTES = 65_536
-# Tokens are a few bytes long, and hardly ever over 128.
+# Far above the mean size of the tokens of a text.
 MAX_BYTES_PER_TOKEN = 32
 # Share of a process's memory for the texts of all items that are not listed.
 TEXT_MEMORY_SHARE = 0.125
--- a/turmericreach/platform/lots.py
+++ b/turmericreach/platform/lots.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from turmericreach.batches.model import BatchItem, BatchSpec, ItemResult, Scorer
-from turmericreach.http1 import query_value, read_number
+from turmericreach.http1 import Headers, query_value, read_number
 from turmericreach.platform.decoding import DecodeError, Fields
 from turmericreach.platform.names import ITEMS_PATH, LENGTH_HINT, LOTS_PATH, TOKEN_COUNTS, WAIT_MS
 
@@ -23,6 +23,8 @@
 ]
 
 MAX_ITEMS = 20_000
+# Tokens that a trainer may expect of an item.
+MAX_TOKENS = 1_000_000_000
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 PATH = re.compile(r"/[\x21-\x7e]*")
 # Value of a header field that is sent for a trainer.
@@ -157,12 +159,11 @@
     headers : dict of str to str
         Header fields by lower-case name.
     """
-    hint = headers.get(LENGTH_HINT.lower(), "")
-    try:
-        return max(float(hint), 1.0)
-    except ValueError:
-        counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
-        return float(read_number(counts[-1].strip()) or 1.0)
+    hint = Headers(headers.items()).number(LENGTH_HINT)
+    if hint is not None and hint <= MAX_TOKENS:
+        return max(hint, 1.0)
+    counts = headers.get(TOKEN_COUNTS.lower(), "").split(",")
+    return float(min(read_number(counts[-1].strip()) or 1, MAX_TOKENS))
 
 
 def encode_results(total: int, after: int, results: list[ItemResult]) -> bytes:
