--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -105,8 +105,8 @@
     echo : tuple of str or None
         Header field and value that identify the response to the present request. The value is empty
         for a request without an id, whose response names none.
-    carried : dict of tuple of str to None
-        Values of `echo` of the newest requests, the oldest first. A late extra response repeats the
+    carried : dict of int to None
+        Hashes of `echo` of the newest requests, the oldest first. A late extra response repeats the
         value of its request, so a connection must not carry another request with the same one.
     mismatched : bool
         Whether the response being received belongs to another request and is skipped.
@@ -153,7 +153,7 @@
         self.on_idle_closed = None
         self.verified_run = ""
         self.sends_large_body = False
-        self.carried: dict[tuple[str, str], None] = {}
+        self.carried: dict[int, None] = {}
         self.reset_exchange()
 
     def reset_exchange(self) -> None:
@@ -403,13 +403,13 @@
         """Keep what identifies the response to a request, and forget the oldest one if needed."""
         if echo is None:
             return
-        self.carried[echo] = None
+        self.carried[hash(echo)] = None
         if len(self.carried) > MAX_CARRIED_IDS:
             del self.carried[next(iter(self.carried))]
 
     def may_carry(self, echo: tuple[str, str] | None) -> bool:
         """Return whether no late response of this connection can be taken for that of a request."""
-        return echo is None or echo not in self.carried
+        return echo is None or hash(echo) not in self.carried
 
     def is_mismatched(self, headers: Headers) -> bool:
         """Return whether a response belongs to a request other than the present one.
@@ -421,7 +421,7 @@
         name, value = self.echo
         repeated = headers.values(name)
         if not repeated:
-            return value != "" and (name, "") in self.carried
+            return value != "" and hash((name, "")) in self.carried
         return any(other != value for other in repeated)
 
     def apply_keep_alive(self, headers: Headers) -> None:
