--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -5,6 +5,7 @@
 import attrs
 
 from turmericreach.http1 import ResponseIncomplete, read_number
+from turmericreach.platform.names import WEIGHT_VERSIONS
 
 __all__ = ["EventParser", "StreamEvent", "follows"]
 
@@ -18,7 +19,9 @@
 # A target that fails in the middle of an event may send the head of another response there.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 # Fields of events, and comments.
-EVENT_FIELD = re.compile(rb"(?:id|data|event|retry|x-weight-versions)?:", re.IGNORECASE)
+EVENT_FIELD = re.compile(
+    b"(?:id|data|event|retry|%b)?:" % re.escape(WEIGHT_VERSIONS.encode()), re.IGNORECASE
+)
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
