Review case 10: orders in progress are cut when gateways stop while callers still arrive

Looked for planned stops in which the balancer goes on to send callers. How: read what the listener does during the grace period, then a script in which two gateways of a zone of three are stopped at once.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1
+exec python3 review/10/case.py
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -32,6 +32,7 @@
     "Record",
     "Scorer",
     "Store",
+    "Worker",
     "configuration",
     "eventually",
     "item",
