--- a/review/10/case.py
+++ b/review/10/case.py
@@ -143,7 +143,7 @@
         gateways.append(GatewayProcess(address, node, f"127.0.10.{number + 1}", folder))
     processes += gateways
     for gateway in gateways:
-        await gateway.start()
+        gateway.start()
     client = Client(record)
     for gateway in gateways:
         if not await eventually(lambda gateway=gateway: client.is_ready(gateway), 15.0):
@@ -188,13 +188,13 @@
     """Wait until a gateway has ended, kill it after its grace period, and start it again."""
     try:
         async with asyncio.timeout(stopped_at + GRACE_S - time.monotonic()):
-            await gateway.process.wait()
+            await gateway.wait_end()
     except TimeoutError:
         record.add(f"{gateway.node} gets SIGKILL")
         await gateway.end()
     record.add(f"{gateway.node} ended {time.monotonic() - stopped_at:.2f} s after SIGTERM")
     await asyncio.sleep(0.5)
-    await gateway.start()
+    gateway.start()
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -83,7 +83,7 @@
         gateways.append(GatewayProcess(address, node, f"127.0.9.{number + 1}", folder))
     processes += gateways
     for gateway in gateways:
-        await gateway.start()
+        gateway.start()
     client = Client(record)
     for gateway in gateways:
         if not await eventually(lambda gateway=gateway: client.is_ready(gateway), 15.0):
@@ -95,9 +95,9 @@
     returning: list[asyncio.Task] = []
 
     async def bring_back() -> None:
-        await second.process.wait()
+        await second.wait_end()
         await asyncio.sleep(DOWN_S)
-        await second.start()
+        second.start()
         record.add(f"{second.node} was started again")
 
     def on_write(gateway: str, request) -> bool:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -555,9 +556,9 @@
             },
             **settings,
         }
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: subprocess.Popen | None = None
 
-    async def start(self) -> None:
+    def start(self) -> None:
         """Start the process."""
         settings = self.folder / f"{self.node}.json"
         settings.write_text(json.dumps(self.document))
@@ -565,29 +566,31 @@
         environment = {name: os.environ[name] for name in kept if name in os.environ}
         environment["TURMERICREACH_NODE_FILE"] = str(settings)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        command = ["python3", "deploy/turmericreach_node.py", "gateway"]
+        command += ["--metrics-port", METRICS_PORT]
         with (self.folder / f"{self.node}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                "python3",
-                "deploy/turmericreach_node.py",
-                "gateway",
-                "--metrics-port",
-                METRICS_PORT,
-                cwd=ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def is_running(self) -> bool:
+        """Return whether the process has been started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
-        with contextlib.suppress(ProcessLookupError):
+        if self.is_running():
             self.process.send_signal(number)
 
+    async def wait_end(self) -> None:
+        """Wait until the process has ended."""
+        if self.process is not None:
+            await asyncio.to_thread(self.process.wait)
+
     async def end(self) -> None:
         """Kill the process if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
+        self.signal(signal.SIGKILL)
+        await self.wait_end()
 
     def log_lines(self, event: str) -> list[dict]:
         """Return the log entries of an event."""
@@ -715,14 +718,21 @@
     async def main() -> int:
         record = Record(folder)
         processes: list[GatewayProcess] = []
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as temporary:
             try:
                 async with asyncio.timeout(112):
                     status = await case(record, Path(temporary), processes)
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
                 record.add(f"the case could not run: {type(error).__name__}: {error}")
                 status = NOT_RUN
             finally:
+                # A task that still runs could start a process again.
+                for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                    task.cancel()
+                await asyncio.sleep(0)
                 for process in processes:
                     await process.end()
         words = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "no result"}
