--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
-"""A gateway that the store turns away passes a lot on to another one, which is killed.
+"""A gateway that the store turns away passes a lot on to another one; both others are killed.
 
-The other one has stored the lot. The check is that a lot whose every attempt was answered 503 (or
+One of them has stored the lot. The check is that a lot whose every attempt was answered 503 (or
 429, 408, 421) does not run.
 """
 
@@ -60,13 +60,12 @@
                 self.misses[gateway.node] = 0 if ready else self.misses[gateway.node] + 1
             await asyncio.sleep(1.0)
 
-    def choose(self, tried):
-        """Return a gateway in rotation, one that was not tried if there is one."""
-        usable = [gateway for gateway in self.gateways if self.misses[gateway.node] < 2]
-        if 2 * len(usable) < len(self.gateways):
-            usable = self.gateways
-        fresh = [gateway for gateway in usable if gateway not in tried]
-        return (fresh or usable)[0]
+    def choose(self):
+        """Return the gateway of the trainer's zone, which has one, or another one in rotation."""
+        for gateway in self.gateways:
+            if self.misses[gateway.node] < 2:
+                return gateway
+        return self.gateways[0]
 
 
 async def case(record, folder, processes) -> int:
@@ -78,9 +77,12 @@
     await Engine(store, record, "engine-0", 8, 0.02, texts, {MODEL: 1}).start()
     await Scorer(store, record, "scorer-0").start()
     gateways = []
-    for number, node in enumerate(("front-a-1", "front-a-2")):
+    zones = dict.fromkeys("abc", "r")
+    for number, zone in enumerate(zones):
+        node = f"front-{zone}-1"
         address = await store.address_for(node)
-        gateways.append(GatewayProcess(address, node, f"127.0.9.{number + 1}", folder))
+        ip = f"127.0.9.{number + 1}"
+        gateways.append(GatewayProcess(address, node, ip, folder, zone=zone, zones=zones))
     processes += gateways
     for gateway in gateways:
         gateway.start()
@@ -88,24 +90,27 @@
     for gateway in gateways:
         if not await eventually(lambda gateway=gateway: client.is_ready(gateway), 15.0):
             return NOT_RUN
-    first, second = gateways
+    first, *others = gateways
     await asyncio.sleep(4.0)
     ingress = Ingress(client, gateways)
     polling = asyncio.create_task(ingress.poll())
     returning: list[asyncio.Task] = []
 
     async def bring_back() -> None:
-        await second.wait_end()
+        for gateway in others:
+            await gateway.wait_end()
         await asyncio.sleep(DOWN_S)
-        second.start()
-        record.add(f"{second.node} was started again")
+        for gateway in others:
+            gateway.start()
+            record.add(f"{gateway.node} was started again")
 
     def on_write(gateway: str, request) -> bool:
-        """Kill the process that has just stored the lot; its response is lost."""
+        """Kill the process that has just stored the lot, and another one at the same moment."""
         if request.method != "POST" or LOT.encode() not in request.body or returning:
             return True
-        record.add(f"the store has created the lot for {gateway}, which is killed")
-        second.signal(signal.SIGKILL)
+        record.add(f"the store has created the lot for {gateway}; two gateways are killed")
+        for killed in others:
+            killed.signal(signal.SIGKILL)
         returning.append(asyncio.create_task(bring_back()))
         return False
 
@@ -121,10 +126,9 @@
         await asyncio.sleep(0.2)
     body = submission(MODEL, [item(name, MODEL, "g0", 640, 640) for name in names])
     began = time.monotonic()
-    statuses, tried = [], []
+    statuses = []
     for attempt in range(1 + RETRIES):
-        gateway = first if attempt == 0 else ingress.choose(tried)
-        tried.append(gateway)
+        gateway = ingress.choose()
         left_s = TIME_LIMIT_S - (time.monotonic() - began)
         record.add(f"attempt {attempt + 1}: {LOT} is sent to {gateway.node}")
         status, headers, _ = await client.call(
