Tell a lost response to a forwarded lot from a rejection

A gateway that the store turned away forwarded the lot to one that stored it and was killed before its response.

Cause: forward_to_any returned false both when nobody had taken the request and when the response was lost or was 500 or 504, so the submission was tried at the store and answered 503. The record of the case shows the create in the store before the 503.

ForwardOutcome has a value for the unknown case. The caller then gets 504, and so do its next attempts at this gateway until the lot is accepted. After an unknown outcome only a success of another gateway ends the forwarding. The end of a lot is treated alike.

--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -9,8 +9,7 @@
 from turmericreach.batches.records import BatchRecord
 from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import LotNotice
-from turmericreach.coordination.peer import Peer
-from turmericreach.coordination.peers import FRESH_STORE_AGE_S, PeerTable
+from turmericreach.coordination.peers import PeerTable
 from turmericreach.http1 import (
     ConnectFailed,
     Request,
@@ -19,7 +18,7 @@
     query_value,
 )
 from turmericreach.metadata import MetadataClient, MetadataError
-from turmericreach.node.authentication import passed_on_fields
+from turmericreach.node.lot_forwarding import FORWARDED_BY, ForwardOutcome, LotForwarder
 from turmericreach.placement import outage_retry_s
 from turmericreach.platform import lots as wire
 from turmericreach.platform.decoding import DecodeError, decode_json
@@ -31,14 +30,13 @@
 __all__ = ["LotApi"]
 
 JSON_FIELDS = [("Content-Type", "application/json")]
-# Header with the host that forwarded a request; such a request is not forwarded again.
-FORWARDED_BY = "X-Passed-On"
-FORWARD_TIMEOUT_S = 3.0
 # Added to the time that a read waits for results, as the timeout of reads at another process.
 READ_MARGIN_S = 1.0
 COORDINATOR_TIMEOUT_S = 0.3
 # Upper bound on what is stored of a lot besides its submission.
 RECORD_BYTES = 4096
+# Lots of which it is remembered that their outcome is unknown; a caller retries within seconds.
+MAX_UNKNOWN_LOTS = 1024
 
 
 class LotApi:
@@ -54,6 +52,11 @@
         The other processes.
     value_bytes : int
         Largest object that the metadata store accepts.
+
+    Attributes
+    ----------
+    unknown_lots : dict of str to None
+        Newest lots that may be stored although their submission was not accepted, the oldest first.
     """
 
     def __init__(
@@ -64,6 +67,8 @@
         self.registry = calls.registry
         self.client = client
         self.peers = peers
+        self.forwarder = LotForwarder(peers, self.outage_retry_s)
+        self.unknown_lots: dict[str, None] = {}
         self.tasks: set[asyncio.Task] = set()
         self.random = random.Random()
 
@@ -74,17 +79,22 @@
     # Submission
 
     async def submit(self, request: Request, responder: Responder, caller: Caller = ANYONE) -> None:
-        """Accept a lot, or forward it to a process that reaches the metadata store."""
+        """Accept a lot, or forward it to a process that reaches the metadata store.
+
+        Once a lot may be stored, it is accepted or its outcome is unknown, also when it is submitted
+        again.
+        """
         lot = attempt_head(request.headers).id
         if len(request.body) + RECORD_BYTES > self.value_bytes:
             self.reject_submission(
                 responder, lot, 413, "larger than the metadata store accepts", None
             )
             return
-        if not self.client.responded_recently() and await self.forward_to_any(
-            request, responder, caller
-        ):
+        forwarded = await self.forward_without_store(request, responder, caller)
+        if forwarded is ForwardOutcome.ANSWERED:
             return
+        if forwarded is ForwardOutcome.UNKNOWN:
+            self.record_unknown(lot)
         began = asyncio.get_running_loop().time()
         try:
             document = decode_json(request.body)
@@ -96,23 +106,41 @@
             self.reject_submission(responder, lot, 400, str(error), None)
             return
         if result.accepted:
+            self.unknown_lots.pop(lot, None)
             responder.send(202)
             if result.record is not None and result.record.owner != self.peers.host:
                 self.spawn(self.notify_owner(result.record))
             return
+        if result.unknown:
+            self.record_unknown(lot)
+        if lot in self.unknown_lots:
+            reason = f"the lot may be stored; {result.reason}"
+            self.reject_submission(responder, lot, 504, reason, None)
+            return
         if result.foreign:
             status = 404 if caller.current else 503
             retry_s = None if caller.current else self.outage_retry_s()
             self.reject_submission(responder, lot, status, result.reason, retry_s)
             return
-        if result.unknown:
-            self.reject_submission(responder, lot, 504, result.reason, None)
-            return
         waited_s = asyncio.get_running_loop().time() - began
         reason = f"{result.reason}, after {waited_s:.2f} s"
         retry_s = self.outage_retry_s() if result.retry_s is None else result.retry_s
         self.reject_submission(responder, lot, 503, reason, retry_s)
 
+    def record_unknown(self, lot: str) -> None:
+        """Record that a lot may be stored, and forget the oldest such lot if there are too many."""
+        self.unknown_lots[lot] = None
+        if len(self.unknown_lots) > MAX_UNKNOWN_LOTS:
+            del self.unknown_lots[next(iter(self.unknown_lots))]
+
+    async def forward_without_store(
+        self, request: Request, responder: Responder, caller: Caller
+    ) -> ForwardOutcome:
+        """Forward a request if the metadata store has not responded to this process recently."""
+        if self.client.responded_recently():
+            return ForwardOutcome.NOT_RUN
+        return await self.forwarder.forward_to_any(request, responder, caller)
+
     def owner_for(self, model: str) -> str:
         """Return the host that should own the lots of a model."""
         return self.peers.owner_for(owner_subject(model)) or self.peers.host
@@ -193,9 +221,9 @@
         try:
             return await self.calls.read_stored(record, after)
         except MetadataError as error:
-            if not already_forwarded and await self.forward_to_any(request, responder, caller):
-                return None
-            self.send_failure(responder, record.lot, 503, str(error))
+            forwarded = await self.forwarder.forward_to_any(request, responder, caller)
+            if forwarded is not ForwardOutcome.ANSWERED:
+                self.send_failure(responder, record.lot, 503, str(error))
             return None
 
     async def forward_to_owner(
@@ -211,7 +239,10 @@
             await self.refresh_record(record.lot)
             return False
         timeout_s = wire.read_wait_s(request.headers) + READ_MARGIN_S
-        if await self.forward_to(owner, request, responder, timeout_s, caller, accept=(200,)):
+        outcome = await self.forwarder.forward_to(
+            owner, request, responder, timeout_s, caller, accept=(200,)
+        )
+        if outcome is ForwardOutcome.ANSWERED:
             return True
         await self.refresh_record(record.lot)
         return False
@@ -257,11 +288,12 @@
         self, request: Request, responder: Responder, lot: str, caller: Caller = ANYONE
     ) -> None:
         """Serve the request to end a lot."""
-        if not self.client.responded_recently() and await self.forward_to_any(
-            request, responder, caller
-        ):
+        forwarded = await self.forward_without_store(request, responder, caller)
+        if forwarded is ForwardOutcome.ANSWERED:
             return
-        if caller.checked and await self.require_record(request, responder, lot, caller) is None:
+        if caller.checked and not await self.require_record(
+            request, responder, lot, caller, forwarded
+        ):
             return
         try:
             record = await self.calls.end(lot)
@@ -276,24 +308,38 @@
             self.spawn(self.notify_owner(record.without_object()))
 
     async def require_record(
-        self, request: Request, responder: Responder, lot: str, caller: Caller
+        self,
+        request: Request,
+        responder: Responder,
+        lot: str,
+        caller: Caller,
+        forwarded: ForwardOutcome = ForwardOutcome.NOT_RUN,
     ) -> BatchRecord | None:
-        """Return the record of a lot that a caller may use; None if a response has been sent."""
+        """Return the record of a lot that a caller may use; None if a response has been sent.
+
+        Parameters
+        ----------
+        forwarded : ForwardOutcome, optional
+            What is known of the request at other processes. Unless they have certainly not carried
+            it out, the response does not say so.
+        """
         if not wire.is_lot_id(lot):
             self.send_failure(responder, lot, 404, "no such lot")
             return None
         try:
             record = await self.find_record(lot)
         except MetadataError as error:
-            if not await self.forward_to_any(request, responder, caller):
-                self.send_failure(responder, lot, 503, str(error))
+            again = await self.forwarder.forward_to_any(request, responder, caller)
+            if again is not ForwardOutcome.ANSWERED:
+                status = failure_status(request, forwarded, again)
+                self.send_failure(responder, lot, status, str(error))
             return None
         if record is None:
             self.send_failure(responder, lot, 404, "no such lot")
             return None
         if not caller.may_use(record.tenant):
             # The key may belong to the tenant of the lot in a newer configuration.
-            status = 404 if caller.current else 503
+            status = 404 if caller.current else failure_status(request, forwarded)
             self.send_failure(responder, lot, status, "the lot belongs to another tenant")
             return None
         return record
@@ -334,57 +380,12 @@
         retry_s = self.outage_retry_s() if status == 503 else None
         responder.send(status, retry_after_fields(retry_s))
 
-    # Other processes
-
-    async def forward_to_any(self, request: Request, responder: Responder, caller: Caller) -> bool:
-        """Forward a request to a process that reaches the metadata store.
-
-        Returns
-        -------
-        bool
-            Whether a response of such a process was sent to the caller.
-        """
-        if request.headers.get(FORWARDED_BY) is not None:
-            return False
-        for host in self.peers.writers(FRESH_STORE_AGE_S):
-            peer = self.peers.peers.get(host)
-            if peer is None:
-                continue
-            if await self.forward_to(peer, request, responder, FORWARD_TIMEOUT_S, caller):
-                return True
-        return False
 
-    async def forward_to(
-        self,
-        peer: Peer,
-        request: Request,
-        responder: Responder,
-        timeout_s: float,
-        caller: Caller,
-        accept: tuple[int, ...] = (200, 202, 400, 404),
-    ) -> bool:
-        """Forward a request to a process; return whether its response was sent to the caller.
+def failure_status(request: Request, *forwarded: ForwardOutcome) -> int:
+    """Return the status for a request that cannot be served here.
 
-        Only responses with a status in ``accept`` are sent.
-        """
-        fields = [*passed_on_fields(request.headers, caller), (FORWARDED_BY, self.peers.host)]
-        try:
-            async with asyncio.timeout(timeout_s):
-                head, body = await self.peers.pool.fetch(
-                    peer.address, request.method, request.target, fields, request.body
-                )
-        except (ConnectFailed, ResponseIncomplete, TimeoutError) as error:
-            log_event(
-                events.HOST_UNREACHABLE,
-                peer=peer.host,
-                reason=f"{request.method} {request.path}: {type(error).__name__} {error}",
-            )
-            return False
-        if head.status not in accept:
-            return False
-        if head.status == 404 and not caller.current:
-            # The key may belong to another tenant in a newer configuration.
-            responder.send(503, retry_after_fields(self.outage_retry_s()))
-            return True
-        responder.send(head.status, head.headers.end_to_end(), body)
-        return True
+    503 says that the request has not been carried out, which is always true of a read.
+    """
+    if request.method != "GET" and ForwardOutcome.UNKNOWN in forwarded:
+        return 504
+    return 503
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -575,5 +575,12 @@
 HOST_REACHABLE = Event(
     "TR2703", "host_reachable", Level.INFO, "{peer} responds", extra=("store_age_s",)
 )
+FORWARD_FAILED = Event(
+    "TR2704",
+    "forward_failed",
+    Level.WARNING,
+    "{method} {path} was not served by {peer}, outcome {outcome}: {reason}",
+    "Check the host if it does not respond again.",
+)
 
 NODE_EVENTS = tuple(value for value in list(vars().values()) if isinstance(value, Event))
