Take the outcome of a write that a failing store answers as unknown

A create answered 500, 502, 504 or an odd status was reported as not stored, so a caller could get 503 for a lot that the store kept. A retry that was rejected after a lost response was reported in the same way. Only a 4xx to a write is a certain rejection, and none makes an earlier attempt certain.

--- a/tests/metadata/test_client.py
+++ b/tests/metadata/test_client.py
@@ -206,3 +206,21 @@
     store.objects["kind", "b"] = {"metadata": "bytes"}
     objects, _ = await client.list_all("kind")
     assert [object.name for object in objects] == ["a"]
+
+
+@pytest.mark.parametrize("status", [302, 500, 502, 504, 600])
+async def test_write_that_a_failing_store_answers_has_an_unknown_outcome(client, store, status):
+    """Guards against "not stored" for a write that a failing store may have applied."""
+    store.faults.write_status = status
+    with pytest.raises(OutcomeUnknown):
+        await client.create("kind", "a", {"writer": "me"}, asyncio.get_running_loop().time())
+    assert store.names("kind") == ["a"]
+
+
+async def test_rejected_retry_does_not_make_a_lost_write_certain(client, store):
+    """Guards against "not stored" after a lost response whose retry was rejected."""
+    store.faults.lose_write_responses = 1
+    store.faults.rejected_writes = 1
+    with pytest.raises(OutcomeUnknown):
+        await client.create("kind", "a", {"writer": "me"}, soon())
+    assert store.names("kind") == ["a"]
--- a/turmericreach/metadata/client.py
+++ b/turmericreach/metadata/client.py
@@ -261,6 +261,11 @@
                     raise
                 if unknown and loop.time() >= deadline:
                     raise OutcomeUnknown(str(error)) from error
+            except MetadataError as error:
+                if unknown:
+                    # The error is that of the last attempt; an earlier one may take effect.
+                    raise OutcomeUnknown(str(error)) from error
+                raise
             if unknown and loop.time() >= deadline:
                 raise OutcomeUnknown(f"{kind}/{name}: no response to the write")
             await asyncio.sleep(RETRY_PAUSE_S * (0.5 + self.random.random()))
@@ -343,7 +348,11 @@
             raise HistoryGone(request_line)
         if status == 409:
             raise Conflict(request_line, self.decode_conflicting_object(body))
-        raise MetadataError(f"{request_line}: status {status} {body[:200]!r}")
+        problem = f"{request_line}: status {status} {body[:200]!r}"
+        if call.writes and not 400 <= status < 500:
+            # Only a rejection is certain; a store that failed may have applied the write.
+            raise OutcomeUnknown(problem)
+        raise MetadataError(problem)
 
     def decode_conflicting_object(self, body: bytes) -> StoredObject | None:
         """Return the object in the body of a conflict, or None if it cannot be decoded."""
--- a/turmericreach_standins/fleet/store.py
+++ b/turmericreach_standins/fleet/store.py
@@ -39,6 +39,10 @@
         IP addresses of clients whose calls are rejected with status 503.
     stalled_watches : int
         Number of next watches that get no response.
+    write_status : int or None
+        Status of the responses to all writes, which are applied; None for the usual one.
+    rejected_writes : int
+        Number of next writes, after those whose responses are lost, that are rejected with 400.
     """
 
     refuse: bool = False
@@ -49,6 +53,8 @@
     delay_s: float = 0.0
     refused_clients: set[str] = attrs.field(factory=set)
     stalled_watches: int = 0
+    write_status: int | None = None
+    rejected_writes: int = 0
 
 
 class StoreStandIn:
@@ -185,7 +191,14 @@
             self.tasks.add(task)
             await request.disconnected.wait()
             return
+        if self.faults.rejected_writes > 0 and not self.faults.lose_write_responses:
+            self.faults.rejected_writes -= 1
+            responder.send(400)
+            return
         status, value = self.apply_write(request, kind, name, is_status_call)
+        if self.faults.write_status is not None:
+            responder.send(self.faults.write_status)
+            return
         if self.faults.lose_write_responses > 0:
             self.faults.lose_write_responses -= 1
             await request.disconnected.wait()
