Answer every request of a stopping gateway, and begin only what can end

Cause: requests were passed on until a second before the end of the grace period, and then all connections were aborted; the time left was never compared with the time that a request takes. The wait for callers also began only after the handover of lots, and its end moved with a reload.

The times of the stop now follow from the signal alone. A request that is not likely to end in time is rejected at once with 503; one that may not be repeated is begun late only if all its time fits, where another gateway takes it. At the cutoff the listener is closed and what is in progress gets 503 or 504, as it may have run or not, calls on lots included. Pipelined requests that have been read are all answered.

--- a/tests/builders/fleet_world.py
+++ b/tests/builders/fleet_world.py
@@ -205,6 +205,8 @@
     ----------
     script : Path
         Program that the next launch starts.
+    grace_s : float
+        Seconds from SIGTERM until the platform kills the program.
     caller_address, ready_address : str
         Addresses of the listeners for callers and for the ready check.
     """
@@ -219,6 +221,7 @@
         self.ports = [free_port(), free_port()]
         self.process: asyncio.subprocess.Process | None = None
         self.script = PROGRAM
+        self.grace_s = 6
 
     def document(self):
         """Return the settings as the platform writes them."""
@@ -231,7 +234,7 @@
             "zone": "a",
             "listen": {"front": self.caller_address, "ready": self.ready_address},
             "portRange": self.ports,
-            "bounds": {"graceS": 6, "leaseMs": 500, "statusS": 120},
+            "bounds": {"graceS": self.grace_s, "leaseMs": 500, "statusS": 120},
             "platform": {
                 "address": self.world.store.address,
                 "writesPerS": 4000,
--- a/turmericreach/admission/__init__.py
+++ b/turmericreach/admission/__init__.py
@@ -3,6 +3,12 @@
 from turmericreach.admission.lots import LotBacklog, LotDecision, LotWork, admit_lot, lot_work
 from turmericreach.admission.pressure import NO_LIMITS, ProcessLimits, ProcessLoad
 from turmericreach.admission.requests import RequestShedder, RequestWork, ShedDecision
+from turmericreach.admission.shutdown import (
+    RecentDurations,
+    ShutdownTimes,
+    ShutdownWork,
+    needed_s,
+)
 from turmericreach.admission.tenants import EqualTenants, TenantFairness
 
 __all__ = [
@@ -13,10 +19,14 @@
     "LotWork",
     "ProcessLimits",
     "ProcessLoad",
+    "RecentDurations",
     "RequestShedder",
     "RequestWork",
     "ShedDecision",
+    "ShutdownTimes",
+    "ShutdownWork",
     "TenantFairness",
     "admit_lot",
     "lot_work",
+    "needed_s",
 ]
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -335,6 +335,11 @@
         }
         return choose_owner(DUTY_NAME, hosts)
 
+    def is_another_available(self) -> bool:
+        """Return whether another process responds and is not about to stop."""
+        now = asyncio.get_running_loop().time()
+        return any(self.is_available(host, now) for host in self.peers)
+
     def is_available(self, host: str, now: float) -> bool:
         """Return whether a host responds and is not about to stop."""
         if host == self.host:
--- a/turmericreach/http1/connection.py
+++ b/turmericreach/http1/connection.py
@@ -282,7 +282,8 @@
 
     def is_closing(self) -> bool:
         """Return whether responses ask the client to close the connection."""
-        return self.server.closing
+        has_more = bool(self.queued) or self.parser.has_pending()
+        return self.server.closing and not has_more
 
     def close_after_responses(self) -> None:
         """Close the connection once the client has read what was sent."""
--- a/turmericreach/http1/server.py
+++ b/turmericreach/http1/server.py
@@ -82,15 +82,22 @@
         return listener.getsockname()[1]
 
     def close_idle(self) -> None:
-        """Close idle connections, and let further responses ask for the end of their connection."""
+        """Close idle connections, and let further responses ask for the end of their connection.
+
+        A connection with requests that wait for their turn is closed after the last response.
+        """
         self.closing = True
         for connection in list(self.connections):
             if connection.is_unused() and not connection.parser.in_message:
                 connection.transport.close()
 
-    async def stop(self) -> None:
-        """Stop listening and close all connections at once."""
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones are served."""
         if self.server is not None:
             self.server.close()
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections at once."""
+        self.stop_listening()
         for connection in list(self.connections):
             connection.abort()
--- a/turmericreach/node/caller_api.py
+++ b/turmericreach/node/caller_api.py
@@ -1,6 +1,8 @@
 """HTTP entry point for requests of callers."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 from turmericreach.http1 import Request, Responder
 from turmericreach.metadata import MetadataClient
@@ -9,6 +11,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.forwarder import Forwarder
 from turmericreach.node.lot_api import LotApi
+from turmericreach.node.shutdown import Shutdown
 from turmericreach.placement import STARTING_RETRY_S
 from turmericreach.platform import lots as lot_wire
 from turmericreach.platform.targets import attempt_head, retry_after_fields
@@ -41,6 +44,8 @@
         Serves submissions, reads and cancellations of lots.
     authentication : CallerAuthentication
         Finds out who sends a request.
+    shutdown : Shutdown
+        Stop of this process.
     """
 
     def __init__(
@@ -50,12 +55,14 @@
         forwarder: Forwarder,
         lot_api: LotApi,
         authentication: CallerAuthentication,
+        shutdown: Shutdown,
     ):
         self.configuration = configuration
         self.client = client
         self.forwarder = forwarder
         self.lot_api = lot_api
         self.authentication = authentication
+        self.shutdown = shutdown
 
     async def handle(
         self, request: Request, responder: Responder, passed_on: Caller | None = None
@@ -79,7 +86,8 @@
         if lot is not None:
             await self.handle_lot(request, responder, lot, caller)
         else:
-            await self.lot_api.read_body(request, responder, items_lot, caller)
+            work = self.lot_api.read_body(request, responder, items_lot, caller)
+            await self.complete_lot_call(request, responder, work)
 
     def caller_of_lot(self, request: Request, responder: Responder) -> Caller | None:
         """Return who sends a call on a lot; None if it has been rejected."""
@@ -94,11 +102,29 @@
     ) -> None:
         """Serve a GET (read results) or a DELETE (end the lot) on a lot."""
         if request.method == "GET":
-            await self.lot_api.read(request, responder, lot, caller)
+            work = self.lot_api.read(request, responder, lot, caller)
         elif request.method == "DELETE":
-            await self.lot_api.end(request, responder, lot, caller)
+            work = self.lot_api.end(request, responder, lot, caller)
         else:
             responder.send(405)
+            return
+        await self.complete_lot_call(request, responder, work)
+
+    async def complete_lot_call(
+        self, request: Request, responder: Responder, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run a call on a lot, and respond to it before this process ends.
+
+        A change that was broken off may have been stored. A read has no effect.
+        """
+        if not self.shutdown.may_begin_lot_call():
+            work.close()
+            self.reject(request, responder, 503, "the process is about to stop")
+            return
+        if await self.shutdown.complete(work) or responder.started:
+            return
+        status = 503 if request.method == "GET" else 504
+        self.reject(request, responder, status, "the process stops during the call")
 
     async def handle_routed(
         self, request: Request, responder: Responder, passed_on: Caller | None
@@ -124,7 +150,8 @@
             return
         if is_batch:
             if request.method == "POST":
-                await self.lot_api.submit(request, responder, caller)
+                work = self.lot_api.submit(request, responder, caller)
+                await self.complete_lot_call(request, responder, work)
             else:
                 responder.send(405)
             return
@@ -163,11 +190,13 @@
         ----------
         status : int
             HTTP status of the response. With 503 this process still lacks data that it needs to
-            serve requests, and the response gets a ``Retry-After`` field.
+            serve requests, or is about to stop, and the response gets a ``Retry-After`` field.
         reason : str
             Logged with the end of the request.
         """
-        retry_s = STARTING_RETRY_S if status == 503 else None
+        retry_s = None
+        if status == 503:
+            retry_s = STARTING_RETRY_S if self.shutdown.times is None else self.shutdown.retry_s()
         responder.send(status, retry_after_fields(retry_s))
         now = asyncio.get_running_loop().time()
         log_event(
--- a/turmericreach/node/draining.py
+++ b/turmericreach/node/draining.py
@@ -3,36 +3,41 @@
 import asyncio
 
 from turmericreach.http1 import HttpServer
+from turmericreach.node.shutdown import Shutdown
 
 __all__ = ["drain_callers"]
 
-# Time until callers stop sending requests: the ready check is polled once a second, and two
-# failures take a process out of rotation.
-LEAVE_ROTATION_S = 2.6
-# Reserved for closing before the process is killed at the end of its grace period.
-STOP_MARGIN_S = 1.0
 STOP_POLL_S = 0.05
 
 
-async def drain_callers(server: HttpServer, began: float, grace_s: float) -> None:
-    """Wait until all callers have disconnected, or until the grace period is nearly over.
+async def drain_callers(server: HttpServer, shutdown: Shutdown, handover: asyncio.Task) -> None:
+    """Serve callers until all have left and the handover is complete, or until the cutoff.
 
     Idle connections are closed once the ready check has had time to take the process out of
-    rotation.
+    rotation. Then no connections are accepted, and each request that has been read gets its
+    response.
 
     Parameters
     ----------
     server : HttpServer
         Server for callers.
-    began : float
-        Loop time in seconds at which the stop was requested.
-    grace_s : float
-        Seconds from then until the process is killed.
+    shutdown : Shutdown
+        Stop that has begun.
+    handover : asyncio.Task
+        Handover of what this process does to other processes.
     """
     loop = asyncio.get_running_loop()
-    while loop.time() < began + grace_s - STOP_MARGIN_S:
-        if loop.time() - began >= LEAVE_ROTATION_S:
+    times = shutdown.times
+    while loop.time() < times.cutoff_at:
+        if loop.time() >= times.rotation_at:
             server.close_idle()
-            if not server.active and not server.connections:
-                return
+            if handover.done() and not server.active and not server.connections:
+                break
+        await asyncio.sleep(STOP_POLL_S)
+    server.stop_listening()
+    shutdown.cut_off()
+    # Connections that were accepted just before are registered in the next turns of the loop.
+    await asyncio.sleep(STOP_POLL_S)
+    while server.connections and loop.time() < times.close_at:
+        server.close_idle()
         await asyncio.sleep(STOP_POLL_S)
--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -9,6 +9,7 @@
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseHead, ResponseIncomplete
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.request_gate import RequestGate
+from turmericreach.node.shutdown import Shutdown
 from turmericreach.node.streams import StreamForwarder
 from turmericreach.node.target_attempts import TargetAttempts
 from turmericreach.placement import PlacementPolicy, hedge_delay_s
@@ -64,6 +65,8 @@
         Requests under which targets have ended.
     origins : StreamOrigins
         Software that began the streams of callers.
+    shutdown : Shutdown, optional
+        Stop of this process; by default it never stops.
 
     Attributes
     ----------
@@ -82,7 +85,9 @@
         permits: PermitSource,
         crashes: CrashTable,
         origins: StreamOrigins,
+        shutdown: Shutdown | None = None,
     ):
+        self.shutdown = shutdown or Shutdown(lambda: False)
         self.crashes = crashes
         self.hedges: Budget | None = None
         self.attempts = TargetAttempts(directory, pool, data_centre, policy, permits, crashes)
@@ -100,6 +105,10 @@
             # Retry-After field it does not ask for another one.
             exchange.reject(502, "targets have ended under this request")
             return
+        if not self.shutdown.may_begin(exchange):
+            reason = "rejected at once: the process is about to stop"
+            exchange.reject(503, reason, self.shutdown.retry_s())
+            return
         if self.gate is None:
             await self.serve_until_deadline(exchange)
             return
@@ -112,15 +121,19 @@
             await self.serve_until_deadline(exchange)
 
     async def serve_until_deadline(self, exchange: Exchange) -> None:
-        """Serve an admitted request until its response is sent or its deadline passes."""
+        """Serve an admitted request until its response is sent or its deadline passes.
+
+        The end of this process is a deadline for all requests.
+        """
         loop = asyncio.get_running_loop()
+        began = loop.time()
         is_stream = exchange.route.kind is RouteKind.STREAMING
         serve = self.streams.serve if is_stream else self.serve
         work = loop.create_task(serve(exchange))
         disconnected = loop.create_task(exchange.request.disconnected.wait())
         try:
             await asyncio.wait(
-                {work, disconnected},
+                {work, disconnected, self.shutdown.cutoff_future()},
                 timeout=max(exchange.remaining_s(), 0.0),
                 return_when=asyncio.FIRST_COMPLETED,
             )
@@ -132,24 +145,27 @@
                     await work
         if not work.cancelled():
             work.result()
+            self.shutdown.durations.record(exchange.route.name, loop.time() - began)
             return
         if exchange.request.disconnected.is_set():
             exchange.log_end(0, "the caller disconnected")
             return
-        self.reject_expired(exchange)
+        if self.shutdown.is_cut_off():
+            self.reject_expired(exchange, "the process stops", self.shutdown.retry_s())
+            return
+        self.reject_expired(exchange, "deadline passed", self.attempts.busy_retry_s(exchange))
 
-    def reject_expired(self, exchange: Exchange) -> None:
-        """End a request whose deadline has passed.
+    def reject_expired(self, exchange: Exchange, reason: str, retry_s: float) -> None:
+        """End a request for which no time is left.
 
         503 is sent only if no target can have run the request.
         """
         if exchange.responder.started:
-            exchange.abort("deadline passed during the response")
+            exchange.abort(f"{reason} during the response")
         elif exchange.possible_runs:
-            exchange.reject(504, "deadline passed")
+            exchange.reject(504, reason)
         else:
-            retry_s = self.attempts.busy_retry_s(exchange)
-            exchange.reject(503, "no target accepted it before the deadline", retry_s)
+            exchange.reject(503, f"{reason} before a target accepted it", retry_s)
 
     async def serve(self, exchange: Exchange) -> None:
         """Send the request to targets until one responds, and forward that response."""
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -64,6 +64,7 @@
 )
 from turmericreach.node.settings import NodeSettings
 from turmericreach.node.settings_watch import SettingsWatch
+from turmericreach.node.shutdown import Shutdown
 from turmericreach.node.supervision import TaskSupervisor
 from turmericreach.node.target_watch import TargetWatch
 from turmericreach.node.usage_meter import UsageMeter
@@ -130,6 +131,7 @@
             limits,
             self.shared,
         )
+        self.shutdown = Shutdown(self.peers.is_another_available)
         self.overload: OverloadControl | None = None
         self.request_gate: RequestGate | None = None
         self.overload_switch = OverloadSwitch(settings, self.directory)
@@ -268,11 +270,17 @@
             self.permits,
             self.shared.crashes,
             self.origins,
+            self.shutdown,
         )
         if self.peers.usage is not None:
             forwarder.attempts.meter = UsageMeter(self.peers.usage)
         caller_api = CallerApi(
-            self.configuration, self.client, forwarder, self.lot_api, self.authentication
+            self.configuration,
+            self.client,
+            forwarder,
+            self.lot_api,
+            self.authentication,
+            self.shutdown,
         )
         self.lot_admission = LotAdmission(
             self.scheduler, self.peers, lambda: self.configuration.current
@@ -450,9 +458,13 @@
         self.stopping.set()
 
     async def stop(self) -> None:
-        """Leave the rotation, hand over the lots, and close once no requests are in progress."""
+        """Leave the rotation, hand over the lots, and close once no requests are in progress.
+
+        The times of the stop follow from the signal: neither a handover that takes long nor changed
+        settings move them.
+        """
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        times = self.shutdown.begin(self.settings.timings.grace_s)
         self.peers.leaving = True
         self.caller_server.closing = True
         log_event(
@@ -462,17 +474,34 @@
             lots=len(self.registry.owned_records()),
         )
         self.duty.release("stopping")
-        await asyncio.gather(self.hand_over_usage(), self.handover.hand_over_all("stopping"))
-        await drain_callers(self.caller_server, began, self.settings.timings.grace_s)
-        await self.hand_over_usage()
+        handover = loop.create_task(self.hand_over_work())
+        await drain_callers(self.caller_server, self.shutdown, handover)
+        await self.finish_handover(handover, (times.close_at + times.end_at) / 2)
         log_event(
             events.NODE_STOPPED,
-            seconds=loop.time() - began,
+            seconds=loop.time() - times.began,
             requests=self.caller_server.active,
             store_calls=str(self.client.calls),
         )
         await self.close()
 
+    async def hand_over_work(self) -> None:
+        """Hand the lots and the counts of requests over to other processes."""
+        await asyncio.gather(self.hand_over_usage(), self.handover.hand_over_all("stopping"))
+
+    async def finish_handover(self, handover: asyncio.Task, deadline: float) -> None:
+        """Hand over the counts of the last requests, and give up a handover that takes too long."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                await handover
+                await self.hand_over_usage()
+        except TimeoutError:
+            log_event(
+                events.HANDOVER_INCOMPLETE,
+                lots=len(self.registry.owned_records()),
+                seconds=deadline - self.shutdown.times.began,
+            )
+
     async def hand_over_usage(self) -> None:
         """Send the counts of requests to the processes that will report them."""
         if self.peers.usage is not None:
--- a/turmericreach/node/lot_api.py
+++ b/turmericreach/node/lot_api.py
@@ -81,8 +81,8 @@
     async def submit(self, request: Request, responder: Responder, caller: Caller = ANYONE) -> None:
         """Accept a lot, or forward it to a process that reaches the metadata store.
 
-        Once a lot may be stored, it is accepted or its outcome is unknown, also when it is submitted
-        again.
+        Once a lot may be stored, it is accepted or its outcome is unknown, also when it is
+        submitted again.
         """
         lot = attempt_head(request.headers).id
         if len(request.body) + RECORD_BYTES > self.value_bytes:
--- a/turmericreach/telemetry/node_events.py
+++ b/turmericreach/telemetry/node_events.py
@@ -42,6 +42,13 @@
     "stopped after {seconds:.2f} s, {requests} requests abandoned",
     extra=("store_calls",),
 )
+HANDOVER_INCOMPLETE = Event(
+    "TR2116",
+    "handover_incomplete",
+    Level.WARNING,
+    "stopped with {lots} lots that no other process has confirmed after {seconds:.2f} s",
+    "None if other processes run; they take the lots over.",
+)
 NODE_RELOADED = Event(
     "TR2106",
     "node_reloaded",
