Take a status that HTTP does not have for a fault of the server

Callers of requests and streams got statuses from 600 to 999 of a target as answers, and waited for more after 000 or 099, which were read as interim responses (report of other operators, MIXED). 101 ended the connection by an unexpected error. The sessions of the daemon returned such statuses too.

Cause: the parser accepts any three digits, and only "below 200" was compared. One decoder now decides for both HTTP clients. Such a response is incomplete, so that it is logged with its reason, counted against the target, and may have run.

--- a/tests/httpclient/test_session.py
+++ b/tests/httpclient/test_session.py
@@ -81,3 +81,16 @@
             return
         with pytest.raises(expected):
             await read_response(response, 10)
+
+
+@pytest.mark.parametrize(
+    "line", ["HTTP/1.1 000 Zero", "HTTP/1.1 099 Low", "HTTP/1.1 600 High", "HTTP/1.1 101 Other"]
+)
+async def test_status_that_is_none_of_http_is_an_error(line):
+    """Guards against a caller that takes status 000 for an answer."""
+    answer = f"{line}\r\nContent-Length: 2\r\n\r\nno".encode()
+    async with RawServer(answer) as server, open_session() as session:
+        with pytest.raises(aiohttp.ClientError):
+            async with session.post(server.url, allow_redirects=False):
+                pass
+        assert server.arrivals == 1
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -17,6 +17,7 @@
     allow_slow_reader,
     set_socket_options,
 )
+from turmericreach.http1.status import is_interim, status_problem
 from turmericreach.verdicts import TurmericreachError
 
 __all__ = ["ClientConnection", "ConnectFailed", "ResponseHead", "ResponseIncomplete", "connect"]
@@ -194,8 +195,9 @@
         self.framing.received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self.fail(f"invalid response: {error}")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self.failure is None:
+                self.fail(f"invalid response: {error}")
             return
         if not self.complete and self.framing.exceeds(self.limits.head_bytes):
             self.exceed(f"bytes outside the body exceed {self.limits.head_bytes}")
@@ -258,9 +260,14 @@
         if self.complete or self.failure is not None:
             return
         status = self.parser.get_status_code()
-        if status < 200:
+        problem = status_problem(status, self.parser.get_http_version())
+        if problem:
+            self.fail(problem)
             return
         headers = Headers(self.fields)
+        if is_interim(status):
+            self.check_interim(status, headers)
+            return
         self.mismatched = self.is_mismatched(headers)
         if self.mismatched:
             return
@@ -277,6 +284,13 @@
         if self.head_waiter is not None and not self.head_waiter.done():
             self.head_waiter.set_result(None)
 
+    def check_interim(self, status: int, headers: Headers) -> None:
+        """Fail an interim response that announces a body, since it cannot have one."""
+        for name in ("content-length", "transfer-encoding"):
+            if headers.get(name) is not None:
+                self.fail(f"interim response {status} with a body")
+                return
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body for the reader."""
         self.framing.body += len(body)
--- a/turmericreach/httpclient/session.py
+++ b/turmericreach/httpclient/session.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from turmericreach.http1.status import status_problem
+
 __all__ = ["open_session"]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -14,6 +16,29 @@
 OMITTED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
+class InvalidStatus(aiohttp.ClientPayloadError):
+    """The status line of a response has no status of HTTP; the request may have run."""
+
+
+class CheckedResponse(aiohttp.ClientResponse):
+    """Response whose status is one of HTTP; all others are errors of the server."""
+
+    async def start(self, connection) -> "CheckedResponse":
+        """Read the head of the response.
+
+        Raises
+        ------
+        InvalidStatus
+            If the status is none, or answers a question that was not asked.
+        """
+        await super().start(connection)
+        version = f"{self.version.major}.{self.version.minor}"
+        problem = status_problem(self.status, version)
+        if problem:
+            raise InvalidStatus(problem)
+        return self
+
+
 def open_session(
     *,
     reuse: bool = True,
@@ -50,6 +75,7 @@
     )
     session = aiohttp.ClientSession(
         connector=connector,
+        response_class=CheckedResponse,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=total_timeout_s, sock_connect=connect_timeout_s),
         auto_decompress=False,
--- a/turmericreach/targets/service.py
+++ b/turmericreach/targets/service.py
@@ -29,8 +29,6 @@
 COALESCE_S = 0.02
 REFUSED_STATUSES = (429, 503)
 # Range of final HTTP statuses.
-MIN_FINAL_STATUS = 200
-MAX_FINAL_STATUS = 599
 STATUSES_WITHOUT_BODY = (204, 304)
 EVENT_STREAM = "text/event-stream"
 # Headers that concern a single connection and are not forwarded.
@@ -164,8 +162,6 @@
 
     async def handle_response(self, call, response, writer) -> tuple[Outcome, bool]:
         """Buffer or stream a response; return its outcome and whether it was streamed."""
-        if not MIN_FINAL_STATUS <= response.status <= MAX_FINAL_STATUS:
-            raise ValueError(f"status {response.status} is not a final HTTP status")
         check_length_known(response)
         headers = end_to_end_headers(
             [(decode_header(name), decode_header(value)) for name, value in response.raw_headers]
