Answer 502 where a target's 503 does not state that it has not run

A caller that gets 503, 429 or 408 reads "not run" from it and may repeat an order. A target states that with X-Not-Executed; its 503 without the field was forwarded as it was, so an order that had run was answered "not run". Such a response to a request that may not be repeated is now a 502, with the reason in the log.

--- a/tests/node/test_requests.py
+++ b/tests/node/test_requests.py
@@ -266,3 +266,16 @@
     status, _, _ = await world.call(gateway, "POST", "/lookup/1", attempt="a1")
     assert status == 200
     await eventually(lambda: "p1" not in gateway.directory.targets, 4.0)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize(("path", "expected"), [("/order/1", 502), ("/lookup/1", None)])
+async def test_rejection_that_a_target_does_not_state_is_no_promise(
+    world, gateway, status, path, expected
+):
+    """Guards against "not run" for a request that a target has run before it failed."""
+    for name in ("p1", "p2"):
+        world.targets[name].faults.status = status
+    got, _, _ = await world.call(gateway, "POST", path, b"x")
+    assert got == (expected or status)
+    assert world.targets["p1"].runs or world.targets["p2"].runs
--- a/turmericreach/node/exchange.py
+++ b/turmericreach/node/exchange.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Exchange"]
 
+# Statuses with which a response to a caller states that the request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @attrs.define
 class Exchange:
@@ -107,7 +110,15 @@
         return self.attempt.last_event_id
 
     def send_response(self, head: ResponseHead, body: bytes) -> None:
-        """Send a target's response to the caller."""
+        """Send the response of a target that may have run the request to the caller.
+
+        A target that rejects a request states so in a header field. Without that, a status by which
+        callers know a rejection would permit them to repeat a request that has run.
+        """
+        if head.status in NOT_RUN_STATUSES and not self.may_repeat():
+            reason = f"status {head.status} of a target that does not state that it has not run"
+            self.reject(502, reason)
+            return
         self.responder.send(head.status, head.headers.end_to_end(), body)
         self.log_end(head.status, "response from a target")
 
