--- a/tests/http1/test_endless_messages.py
+++ b/tests/http1/test_endless_messages.py
@@ -98,9 +98,21 @@
     assert len(parser.rest) <= 65_536 + 8192
 
 
+@pytest.mark.parametrize("idle", [b"\n\n", b": keep\n\n", b":\r\n\r\n"])
+def test_comments_without_end_are_rejected(idle):
+    """Guards against a stream that occupies the loop with what is no event."""
+    parser = EventParser()
+    for number in range(1, 4):
+        parser.feed(idle * 5000)
+        parser.feed(b"id: %d\ndata: x\n\n" % number)
+    with pytest.raises(ResponseIncomplete, match="exceed"):
+        for _ in range(100):
+            parser.feed(idle * 1000)
+
+
 def test_blank_lines_without_end_are_parsed_in_linear_time():
     """Guards against a loop that is blocked by copying the buffer at each blank line."""
-    parser = EventParser()
+    parser = EventParser(max_event_bytes=1 << 20)
     assert parser.feed(b"\n" * (1 << 20)) == []
     assert parser.rest == b""
 
--- a/turmericreach/batches/event_stream.py
+++ b/turmericreach/batches/event_stream.py
@@ -64,7 +64,7 @@
     Parameters
     ----------
     max_event_bytes : int
-        Largest size of an event.
+        Largest size of an event, and of the comments and blank lines between two events.
 
     Attributes
     ----------
@@ -72,12 +72,15 @@
         Bytes received after the last complete event.
     started : bool
         Whether a part of the stream has been parsed; a byte order mark may only stand before it.
+    idle_bytes : int
+        Size of the comments and blank lines since the last event.
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES):
         self.max_event_bytes = max_event_bytes
         self.rest = b""
         self.started = False
+        self.idle_bytes = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes to the buffer and return the events that they complete.
@@ -85,7 +88,7 @@
         Raises
         ------
         ResponseIncomplete
-            If an event is too large.
+            If an event is too large, or comments follow each other without end.
         """
         buffer = self.rest + data
         events = []
@@ -97,11 +100,23 @@
             self.started = True
             if event is not None:
                 events.append(event)
+            self.count_idle(event, len(raw))
         self.rest = buffer[start:]
         if len(self.rest) > self.max_event_bytes:
             raise ResponseIncomplete(f"an event exceeds {self.max_event_bytes} bytes")
         return events
 
+    def count_idle(self, event: StreamEvent | None, size: int) -> None:
+        """Count bytes that are no event, and fail a stream with too many of them in a row."""
+        if event is not None and not event.is_comment():
+            self.idle_bytes = 0
+            return
+        self.idle_bytes += size
+        if self.idle_bytes > self.max_event_bytes:
+            raise ResponseIncomplete(
+                f"comments without an event exceed {self.max_event_bytes} bytes"
+            )
+
 
 def parse_event(raw: bytes, at_start: bool = False) -> StreamEvent | None:
     """Parse the lines of one event; return None if there are none.
--- a/turmericreach/http1/limits.py
+++ b/turmericreach/http1/limits.py
@@ -15,7 +15,7 @@
     "ServerLimits",
 ]
 
-# Bytes of framing allowed for each byte of a body. A chunk of one byte needs five.
+# Bytes of framing allowed for each byte of a body by default. A chunk of one byte needs five.
 FRAMING_PER_BODY_BYTE = 16
 # Share of a process's memory for the bodies on the connections of one kind. A gateway has five
 # kinds: those from callers and other gateways, and those to targets, other gateways, and the store.
@@ -90,16 +90,19 @@
     ----------
     received, body : int
         Bytes received, and those of them that the parser reported as parts of a body.
+    per_body_byte : int
+        Bytes of framing that are allowed for each byte of a body.
     """
 
-    def __init__(self):
+    def __init__(self, per_body_byte: int = FRAMING_PER_BODY_BYTE):
+        self.per_body_byte = per_body_byte
         self.received = 0
         self.body = 0
 
     def exceeds(self, head_bytes: int) -> bool:
         """Return whether there are more framing bytes than a head of this size explains."""
         framing = self.received - self.body
-        return framing > head_bytes + FRAMING_PER_BODY_BYTE * self.body
+        return framing > head_bytes + self.per_body_byte * self.body
 
 
 class BufferHolder(MemoryHolder, Protocol):
--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -19,6 +19,8 @@
 REJECTED_PAUSE_S = 0.03
 # A copy of the origin of a stream is on its way, or a process that has one is about to respond.
 UNKNOWN_RETRY_S = 0.3
+# After so many events of a stream, other requests get a turn.
+EVENTS_PER_TURN = 64
 # A target that ended starts again within some seconds.
 RETURN_RETRY_S = 1.0
 # Bound on the attempts of a stream that targets reject.
@@ -159,8 +161,12 @@
             software = target.record.software
             self.origins.record(exchange.attempt.id, software, exchange.attempt_count)
         parser = EventParser()
+        count = 0
         async for chunk in attempt.connection.body_chunks():
             for event in parser.feed(chunk):
+                count += 1
+                if count % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
                 if not self.continues(exchange, event):
                     attempt.outcome = "foreign event: other bytes, or an id that does not follow"
                     attempt.failed = True
--- a/turmericreach_standins/fleet/store.py
+++ b/turmericreach_standins/fleet/store.py
@@ -41,6 +41,8 @@
         Number of next watches that get no response.
     write_status : int or None
         Status of the responses to all writes, which are applied; None for the usual one.
+    endless : bytes
+        Bytes that are sent without end in place of each response, empty for none.
     rejected_writes : int
         Number of next writes, after those whose responses are lost, that are rejected with 400.
     """
@@ -54,6 +56,7 @@
     refused_clients: set[str] = attrs.field(factory=set)
     stalled_watches: int = 0
     write_status: int | None = None
+    endless: bytes = b""
     rejected_writes: int = 0
 
 
@@ -173,6 +176,9 @@
         if self.faults.silent:
             await request.disconnected.wait()
             return
+        if self.faults.endless:
+            await self.send_without_end(request, responder)
+            return
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.refuse or client_ip in self.faults.refused_clients:
@@ -209,6 +215,15 @@
             return
         self.send_json(responder, status, value)
 
+    async def send_without_end(self, request: Request, responder: Responder) -> None:
+        """Send bytes that never end until the client disconnects."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        responder.connection.write(head)
+        while not request.disconnected.is_set():
+            responder.connection.write(self.faults.endless)
+            await responder.connection.drain()
+            await asyncio.sleep(0)
+
     async def apply_write_late(
         self, request: Request, kind: str, name: str | None, is_status_call: bool
     ) -> None:
