End a run at the first event of a version that its lot does not accept

The version was compared at the head of a response only, while an engine that carries out an old order late goes back during its runs and says so before the next event. Each event is compared now; the event is not kept and the text before it is.

--- a/tests/batches/test_item_run.py
+++ b/tests/batches/test_item_run.py
@@ -97,3 +97,30 @@
     assert engine.runs == []
     pool.close()
     await engine.stop()
+
+
+@pytest.mark.parametrize("head_version", [3, 4])
+async def test_event_of_an_older_version_than_the_lot_accepts_is_not_kept(head_version):
+    """Guards against a result under a version that is older than the oldest of its lot.
+
+    Found by review/8: an engine that had restarted carried out an old order, and its runs went on
+    under the version of that order.
+    """
+    stream = [
+        b"x-weight-versions: %d\nid: 1\ndata: a\n\n" % head_version,
+        b"x-weight-versions: 2\nid: 2\ndata: b\n\n",
+        b"x-weight-versions: 4\nid: 3\ndata: c\n\n",
+    ]
+    server, address = await serve_stream(stream)
+    target = Target(TargetRecord("e1", 1, "engines", address, "a", 4, False))
+    item = BatchItem("i1", "/x", [], b"", 100, "g", 20.0, None)
+    progress = Progress()
+    pool = ConnectionPool(1.0)
+    constraints = RunConstraints("h", "m", 3, False, 10.0)
+    async with asyncio.timeout(5):
+        report = await run_item(item, progress, target, constraints, pool, TargetDirectory())
+    server.close()
+    assert report.outcome is ItemOutcome.OLD_VERSION
+    assert (progress.events, progress.versions) == (["a"], [head_version])
+    assert not progress.whole
+    assert target.model_versions["m"] == 2
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -237,8 +237,7 @@
         if not response.stamp:
             return RunReport(ItemOutcome.INTERRUPTED, "response has no stamp")
         version = response.weight_version or 0
-        if version < constraints.min_version:
-            target.model_versions[constraints.model] = version
+        if self.is_too_old(version):
             return RunReport(ItemOutcome.OLD_VERSION, f"version {version}")
         if version:
             target.record_version(constraints.model, version)
@@ -246,6 +245,17 @@
             return RunReport(ItemOutcome.OLD_VERSION, f"version {version} after another")
         return await self.read_events(version)
 
+    def is_too_old(self, version: int) -> bool:
+        """Return whether a version must not generate the text, and record it for the target.
+
+        An engine may go back to an older version while it generates: it carries out an order whose
+        response was lost seconds late, and after a restart it no longer knows newer ones.
+        """
+        if version >= self.constraints.min_version:
+            return False
+        self.target.model_versions[self.constraints.model] = version
+        return True
+
     def clear_on_version_change(self, version: int) -> bool:
         """Discard the progress if it must have a single version and this one differs.
 
@@ -279,6 +289,9 @@
                     return RunReport(ItemOutcome.INTERRUPTED, "an event holds other bytes")
                 if not follows(last_id, event.id):
                     return RunReport(ItemOutcome.INTERRUPTED, f"event {event.id} after {last_id}")
+                if self.is_too_old(version):
+                    detail = f"version {version} from event {event.id} on"
+                    return RunReport(ItemOutcome.OLD_VERSION, detail)
                 if self.clear_on_version_change(version):
                     return RunReport(ItemOutcome.OLD_VERSION, f"version {version} after another")
                 text_bytes += encoded_bytes(event.data)
