Do not take a text that was discarded at its end for a whole one

The bound on the memory of texts discards the longest ones and relied on the next event to end the run; a text that has its last event gets none, so the end of the response made the empty text whole. A run now compares the last event of the text with the newest one that it added. A new run without any event is not whole either.

--- a/tests/batches/test_item_run.py
+++ b/tests/batches/test_item_run.py
@@ -124,3 +124,61 @@
     assert (progress.events, progress.versions) == (["a"], [head_version])
     assert not progress.whole
     assert target.model_versions["m"] == 2
+
+
+class DiscardAtEvent:
+    """Discards a text once it has a number of events, as the bound on all texts does."""
+
+    def __init__(self, progress, count):
+        self.progress = progress
+        self.count = count
+
+    def add(self, event):
+        if len(self.progress.events) == self.count:
+            self.progress.clear()
+
+
+@pytest.mark.parametrize("kept", [0, 2])
+@pytest.mark.parametrize("count", [1, 3, None])
+async def test_text_that_was_discarded_before_the_end_is_not_whole(kept, count):
+    """Guards against a completed result with an empty text.
+
+    Found by review/7: the longest texts are discarded first, so those that have their last event.
+    """
+    progress = Progress()
+    for number in range(1, kept + 1):
+        progress.add(number, "x", 3, "v1")
+    stream = [f"id: {n}\ndata: x\n\n".encode() for n in range(kept + 1, 4)]
+    server, address = await serve_stream(stream)
+    target = Target(TargetRecord("e1", 1, "engines", address, "a", 4, False))
+    item = BatchItem("i1", "/x", [], b"", 100, "g", 20.0, None)
+    pool = ConnectionPool(1.0)
+    constraints = RunConstraints("h", "m", 1, False, 10.0)
+    texts = DiscardAtEvent(progress, count)
+    async with asyncio.timeout(5):
+        report = await run_item(item, progress, target, constraints, pool, TargetDirectory(), texts)
+    server.close()
+    discarded = count is not None and count > kept
+    assert progress.whole is not discarded
+    assert (report.outcome is ItemOutcome.COMPLETE) is not discarded
+    assert len(progress.events) == (0 if discarded else 3)
+
+
+async def test_stream_without_an_event_is_not_a_whole_text():
+    """Guards against an empty result of an engine that ends its response at once."""
+    server, address = await serve_stream([])
+    target = Target(TargetRecord("e1", 1, "engines", address, "a", 4, False))
+    item = BatchItem("i1", "/x", [], b"", 100, "g", 20.0, None)
+    progress = Progress()
+    async with asyncio.timeout(5):
+        report = await run_item(
+            item,
+            progress,
+            target,
+            RunConstraints("h", "m", 1, False, 10.0),
+            ConnectionPool(1.0),
+            TargetDirectory(),
+        )
+    server.close()
+    assert report.outcome is ItemOutcome.INTERRUPTED
+    assert not progress.whole
--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -270,7 +270,12 @@
         return True
 
     async def read_events(self, version: int) -> RunReport:
-        """Add the events of a response to the progress."""
+        """Add the events of a response to the progress.
+
+        The text may be discarded at any time, also between its last event and the end of the
+        response.
+        """
+        newest_id = self.progress.last_event_id
         parser = EventParser()
         last_at = None
         text_bytes = sum(map(encoded_bytes, self.progress.events))
@@ -299,12 +304,18 @@
                     self.progress.clear()
                     return RunReport(ItemOutcome.INTERRUPTED, "text larger than its tokens")
                 self.progress.add(event.id, event.data, version, self.target.record.software)
+                newest_id = event.id
                 self.target.record_version(self.constraints.model, version)
                 last_at = self.record_event(last_at)
                 if self.texts is not None:
                     self.texts.add(event.data)
         if parser.rest.strip():
             return RunReport(ItemOutcome.INTERRUPTED, "stream ended inside an event")
+        if newest_id is None:
+            # A resumed stream may have nothing left, a new one has at least one event.
+            return RunReport(ItemOutcome.INTERRUPTED, "stream without an event")
+        if self.progress.last_event_id != newest_id:
+            return RunReport(ItemOutcome.INTERRUPTED, "text discarded before the end")
         self.progress.whole = True
         return RunReport(ItemOutcome.COMPLETE)
 
--- a/turmericreach/batches/text_memory.py
+++ b/turmericreach/batches/text_memory.py
@@ -48,7 +48,8 @@
 
     Load pattern: targets in trouble send streams without end to many items at once. When the texts
     exceed the limit, the longest ones are discarded, so that those of usual length are kept. The
-    run of an item whose text is discarded ends at its next event, which does not follow the text.
+    run of an item whose text is discarded ends at its next event, which does not follow the text,
+    or at the end of the response.
 
     Parameters
     ----------
