--- a/tests/builders/late_callers.py
+++ b/tests/builders/late_callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.builders.fleet_world import HOST
+from tests.builders.fleet_world import HOST, MODEL
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseIncomplete
 
 __all__ = ["LateCallers", "SentRequest"]
@@ -60,6 +60,7 @@
         fields = [
             ("Host", HOST),
             ("X-Attempt-Id", attempt),
+            ("X-Model", MODEL),
             ("X-Deadline-Ms", str(int(self.timeout_s * 1000))),
         ]
         try:
