--- a/turmericreach/http1/__init__.py
+++ b/turmericreach/http1/__init__.py
@@ -1,13 +1,7 @@
 """HTTP/1.1 servers and clients at protocol level, for programs that forward requests."""
 
 from turmericreach.http1.addresses import is_address
-from turmericreach.http1.client import (
-    ClientConnection,
-    ConnectFailed,
-    ResponseHead,
-    ResponseIncomplete,
-    connect,
-)
+from turmericreach.http1.client import ClientConnection, connect
 from turmericreach.http1.connection import Handler
 from turmericreach.http1.connection_budget import ConnectionBudget, connection_limit
 from turmericreach.http1.exchange import Request, Responder
@@ -22,6 +16,7 @@
 from turmericreach.http1.numbers import read_number
 from turmericreach.http1.pool import ConnectionPool
 from turmericreach.http1.rejections import REASONS, RejectionCounts
+from turmericreach.http1.responses import ConnectFailed, ResponseHead, ResponseIncomplete
 from turmericreach.http1.server import HttpServer
 from turmericreach.http1.server_bounds import ServerBounds
 
--- a/turmericreach/http1/client.py
+++ b/turmericreach/http1/client.py
@@ -4,32 +4,29 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-import attrs
 import httptools
 
 from turmericreach.http1.body_sender import SENT_AT_ONCE_BYTES, BodySender
+from turmericreach.http1.carried_ids import CarriedIds
 from turmericreach.http1.headers import Headers, encode_headers
 from turmericreach.http1.limits import BufferBudget, FramingCount, ResponseLimits
 from turmericreach.http1.numbers import read_number
 from turmericreach.http1.response_fields import ResponseFields
+from turmericreach.http1.responses import ConnectFailed, ResponseHead, ResponseIncomplete
 from turmericreach.http1.sockets import (
     LARGE_MESSAGE_BYTES,
     allow_slow_reader,
     set_socket_options,
 )
 from turmericreach.http1.status import is_interim, status_problem
-from turmericreach.verdicts import TurmericreachError
 
-__all__ = ["ClientConnection", "ConnectFailed", "ResponseHead", "ResponseIncomplete", "connect"]
+__all__ = ["ClientConnection", "connect"]
 
 # Reading from the connection pauses while more than this many bytes of a body are unread.
 MAX_BUFFERED_BYTES = 1 << 16
 # Idle connections are closed this long before the server would close them, so that no request is
 # sent on a connection that the server is closing.
 IDLE_MARGIN_S = 0.5
-# Number of the newest requests of a connection whose ids are kept. A late response to an older one
-# is not expected any more.
-MAX_CARRIED_IDS = 128
 # Memory of a head that is not counted, so that a usual response costs no update of the budget.
 UNCOUNTED_HEAD_BYTES = 8192
 # Framing allowed for each byte of a body. Each chunk costs processor time, so a body in chunks of
@@ -39,40 +36,6 @@
 DEFAULT_MAX_IDLE_S = 4.0
 
 
-class ConnectFailed(TurmericreachError):
-    """No connection could be opened, so nothing was sent.
-
-    Attributes
-    ----------
-    refused : bool
-        Whether the host refused the connection, since no process listens there.
-    """
-
-    def __init__(self, message: str, refused: bool = False):
-        super().__init__(message)
-        self.refused = refused
-
-
-class ResponseIncomplete(TurmericreachError):
-    """The connection was lost, or sent invalid data, before the response was complete."""
-
-
-@attrs.frozen
-class ResponseHead:
-    """Head of a response.
-
-    Attributes
-    ----------
-    status : int
-        Status code.
-    headers : Headers
-        Header fields.
-    """
-
-    status: int
-    headers: Headers
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
@@ -109,9 +72,8 @@
     echo : tuple of str or None
         Header field and value that identify the response to the present request. The value is empty
         for a request without an id, whose response names none.
-    carried : dict of int to None
-        Hashes of `echo` of the newest requests, the oldest first. A late extra response repeats the
-        value of its request, so a connection must not carry another request with the same one.
+    carried : CarriedIds
+        What identifies the responses to the newest requests.
     mismatched : bool
         Whether the response being received belongs to another request and is skipped.
     head : ResponseHead or None
@@ -164,7 +126,7 @@
         self.verified_run = ""
         self.sends_large_body = False
         self.body_sender = BodySender()
-        self.carried: dict[int, None] = {}
+        self.carried = CarriedIds()
         self.reset_exchange()
 
     def reset_exchange(self) -> None:
@@ -280,7 +242,7 @@
         if is_interim(status):
             self.check_interim(status, headers)
             return
-        self.mismatched = self.is_mismatched(headers)
+        self.mismatched = self.carried.is_mismatched(self.echo, headers)
         if self.mismatched:
             return
         framed = headers.get("content-length") is not None
@@ -386,7 +348,7 @@
         self.reusable = True
         self.requests += 1
         self.echo = echo
-        self.record_carried(echo)
+        self.carried.record(echo)
         self.method = method
         sends_large_body = len(body) >= LARGE_MESSAGE_BYTES
         if sends_large_body != self.sends_large_body:
@@ -454,30 +416,9 @@
         self.release_buffers()
         return b"".join(parts)
 
-    def record_carried(self, echo: tuple[str, str] | None) -> None:
-        """Keep what identifies the response to a request, and forget the oldest one if needed."""
-        if echo is None:
-            return
-        self.carried[hash(echo)] = None
-        if len(self.carried) > MAX_CARRIED_IDS:
-            del self.carried[next(iter(self.carried))]
-
     def may_carry(self, echo: tuple[str, str] | None) -> bool:
         """Return whether no late response of this connection can be taken for that of a request."""
-        return echo is None or hash(echo) not in self.carried
-
-    def is_mismatched(self, headers: Headers) -> bool:
-        """Return whether a response belongs to a request other than the present one.
-
-        A response without the value belongs to a request without an id, if there was one.
-        """
-        if self.echo is None:
-            return False
-        name, value = self.echo
-        repeated = headers.values(name)
-        if not repeated:
-            return value != "" and hash((name, "")) in self.carried
-        return any(other != value for other in repeated)
+        return self.carried.may_carry(echo)
 
     def apply_keep_alive(self, headers: Headers) -> None:
         """Set the longest idle time to what the server announces, less a margin."""
--- a/turmericreach/http1/pool.py
+++ b/turmericreach/http1/pool.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from turmericreach.http1.client import ClientConnection, ResponseHead, connect
+from turmericreach.http1.client import ClientConnection, connect
 from turmericreach.http1.limits import BufferBudget, ResponseLimits
+from turmericreach.http1.responses import ResponseHead
 
 __all__ = ["ConnectionPool"]
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -65,6 +65,7 @@
 from turmericreach.node.settings import NodeSettings
 from turmericreach.node.settings_watch import SettingsWatch
 from turmericreach.node.shutdown import Shutdown
+from turmericreach.node.stop_handover import StopHandover
 from turmericreach.node.supervision import TaskSupervisor
 from turmericreach.node.target_watch import TargetWatch
 from turmericreach.node.usage_meter import UsageMeter
@@ -455,6 +456,7 @@
     def request_stop(self, signal_name: str) -> None:
         """Request a stop; the name of the signal is logged."""
         self.stop_signal = signal_name
+        self.shutdown.begin(self.settings.timings.grace_s)
         self.stopping.set()
 
     async def stop(self) -> None:
@@ -464,7 +466,7 @@
         settings move them.
         """
         loop = asyncio.get_running_loop()
-        times = self.shutdown.begin(self.settings.timings.grace_s)
+        times = self.shutdown.times
         self.peers.leaving = True
         self.caller_server.closing = True
         log_event(
@@ -474,9 +476,10 @@
             lots=len(self.registry.owned_records()),
         )
         self.duty.release("stopping")
-        handover = loop.create_task(self.hand_over_work())
+        stop_handover = StopHandover(self.peers, self.handover)
+        handover = loop.create_task(stop_handover.run())
         await drain_callers(self.caller_server, self.shutdown, handover)
-        await self.finish_handover(handover, (times.close_at + times.end_at) / 2)
+        await stop_handover.finish(handover, times)
         log_event(
             events.NODE_STOPPED,
             seconds=loop.time() - times.began,
@@ -485,28 +488,6 @@
         )
         await self.close()
 
-    async def hand_over_work(self) -> None:
-        """Hand the lots and the counts of requests over to other processes."""
-        await asyncio.gather(self.hand_over_usage(), self.handover.hand_over_all("stopping"))
-
-    async def finish_handover(self, handover: asyncio.Task, deadline: float) -> None:
-        """Hand over the counts of the last requests, and give up a handover that takes too long."""
-        try:
-            async with asyncio.timeout_at(deadline):
-                await handover
-                await self.hand_over_usage()
-        except TimeoutError:
-            log_event(
-                events.HANDOVER_INCOMPLETE,
-                lots=len(self.registry.owned_records()),
-                seconds=deadline - self.shutdown.times.began,
-            )
-
-    async def hand_over_usage(self) -> None:
-        """Send the counts of requests to the processes that will report them."""
-        if self.peers.usage is not None:
-            await self.peers.usage.hand_over()
-
     async def close(self) -> None:
         """Stop all tasks and servers and close all connections."""
         self.tasks.stop()
--- a/turmericreach/node/shutdown.py
+++ b/turmericreach/node/shutdown.py
@@ -41,11 +41,12 @@
         self.durations = RecentDurations()
         self.cutoff: asyncio.Future | None = None
 
-    def begin(self, grace_s: float) -> ShutdownTimes:
-        """Begin the stop; the times that follow from the grace period stay as they are."""
+    def begin(self, grace_s: float) -> None:
+        """Begin the stop at its first signal; later signals and settings change nothing."""
+        if self.times is not None:
+            return
         now = asyncio.get_running_loop().time()
         self.times = ShutdownTimes.of_grace_period(now, grace_s)
-        return self.times
 
     def cut_off(self) -> None:
         """Let all requests in progress be answered now."""
