Keep the lease of a predecessor across lost responses and short holders

A process now remembers its predecessor until the acquisition is confirmed, and reports the predecessor's last possible order.

--- a/turmericreach/coordination/duty.py
+++ b/turmericreach/coordination/duty.py
@@ -49,6 +49,8 @@
         Fencing token while this process holds the duty, else None.
     first_order_at : float
         Loop time in seconds from which orders may be sent.
+    predecessor : str or None
+        Other host that held the duty before an acquisition that is not confirmed yet, else None.
     started_at : float
         Loop time in seconds at which this process started.
     acquired, released : asyncio.Event
@@ -74,6 +76,7 @@
         self.acquired = asyncio.Event()
         self.released = asyncio.Event()
         self.first_order_at = 0.0
+        self.predecessor: str | None = None
         self.started_at = asyncio.get_running_loop().time()
 
     def object_changed(self, object: StoredObject) -> None:
@@ -127,10 +130,17 @@
         return "there is no holder" if holder is None else "the holder is lost"
 
     async def acquire(self, reason: str) -> None:
-        """Try to become the holder by a conditional write."""
+        """Try to become the holder by a conditional write.
+
+        If the response to the write is lost, the next attempt finds this process as the holder. The
+        lease of the holder before it has to expire all the same.
+        """
         spec = {"holder": self.host, "incarnation": self.incarnation}
         now = asyncio.get_running_loop().time()
         former = self.holder()
+        if former != self.host:
+            self.predecessor = former
+        self.wait_for_predecessor(now)
         try:
             if self.current is None:
                 object = await self.client.create(OWN_KIND, DUTY_NAME, spec, now)
@@ -150,10 +160,9 @@
         self.token = object.revision
         self.object_changed(object)
         now = asyncio.get_running_loop().time()
-        self.first_order_at = now
-        if former not in (None, self.host):
-            last_order_at = self.peers.last_possible_order_at(former, now)
-            self.first_order_at = max(last_order_at + self.lease_s + LEASE_MARGIN_S, now)
+        self.first_order_at = max(self.first_order_at, now)
+        self.wait_for_predecessor(now)
+        self.predecessor = None
         self.released.clear()
         self.acquired.set()
         log_event(
@@ -164,6 +173,18 @@
             first_order_in_s=round(self.first_order_at - now, 3),
         )
 
+    def wait_for_predecessor(self, now: float) -> None:
+        """Set the time of the first order by the last possible order of the predecessor.
+
+        That order also counts as the last one of this process in its status: a successor for which
+        this process makes way before it has sent any waits for the same lease.
+        """
+        if self.predecessor is None:
+            return
+        last_order_at = self.peers.last_possible_order_at(self.predecessor, now)
+        self.peers.last_order_at = max(self.peers.last_order_at, last_order_at)
+        self.first_order_at = max(last_order_at + self.lease_s + LEASE_MARGIN_S, now)
+
     async def verified_token(self) -> int | None:
         """Return the fencing token if a read of the store confirms that the duty is held."""
         loop = asyncio.get_running_loop()
