Ignore SIGHUP until its handler is installed

The settings are read after this line, and checked for changes later, so that a signal that is ignored loses nothing. The new test failed before: nothing ignored it.

--- a/deploy/turmericreach_node.py
+++ b/deploy/turmericreach_node.py
@@ -1,8 +1,12 @@
 """Starts a program of turmericreach on a host of the platform."""
 
+import signal
 import sys
 from pathlib import Path
 
+# A signal to reload the settings has to wait for its handler, and must not end the program.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 if sys.argv[1:] == ["standby"]:
--- a/tests/node/test_programs.py
+++ b/tests/node/test_programs.py
@@ -188,3 +188,32 @@
     assert last["event"] == "node_not_listening"
     assert last["fields"]["address"] == f"{LOOPBACK}:{program.ports[0]}"
     assert "Traceback" not in program.log_file.read_text()
+
+
+def handles_hangup(program, kind):
+    """Return whether a program ignores (``SigIgn``) or catches (``SigCgt``) SIGHUP."""
+    with open(f"/proc/{program.process.pid}/status") as status:
+        for line in status:
+            if line.startswith(f"{kind}:"):
+                return bool(int(line.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+    raise AssertionError("the process has ended")
+
+
+async def test_reload_during_the_start_does_not_end_the_program(world, tmp_path):
+    """Guards against SIGHUP before its handler is installed, which ends a program by default.
+
+    Found by reading in the second review. Until the interpreter runs, nothing can ignore it.
+    """
+    program = GatewayProcess(world, "g3", tmp_path)
+    await program.launch()
+    try:
+        async with asyncio.timeout(5):
+            while not handles_hangup(program, "SigIgn"):
+                assert not handles_hangup(program, "SigCgt")
+                await asyncio.sleep(0.005)
+        while not handles_hangup(program, "SigCgt"):
+            program.signal(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+        await eventually(program.is_ready, timeout_s=15.0)
+    finally:
+        await program.end()
