--- a/turmericreach/node/forwarder.py
+++ b/turmericreach/node/forwarder.py
@@ -1,7 +1,6 @@
 """Forwarding of callers' requests to targets, with retries and hedging."""
 
 import asyncio
-import contextlib
 
 import attrs
 
@@ -9,7 +8,7 @@
 from turmericreach.http1 import ConnectFailed, ConnectionPool, ResponseHead, ResponseIncomplete
 from turmericreach.node.exchange import Exchange
 from turmericreach.node.request_gate import RequestGate
-from turmericreach.node.shutdown import Shutdown
+from turmericreach.node.shutdown import Shutdown, cancel_and_wait
 from turmericreach.node.streams import StreamForwarder
 from turmericreach.node.target_attempts import TargetAttempts
 from turmericreach.placement import PlacementPolicy, hedge_delay_s
@@ -139,10 +138,7 @@
             )
         finally:
             disconnected.cancel()
-            if not work.done():
-                work.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await work
+            await cancel_and_wait(work)
         if not work.cancelled():
             work.result()
             self.shutdown.durations.record(exchange.route.name, loop.time() - began)
--- a/turmericreach/node/shutdown.py
+++ b/turmericreach/node/shutdown.py
@@ -9,7 +9,7 @@
 from turmericreach.node.exchange import Exchange
 from turmericreach.placement import STARTING_RETRY_S
 
-__all__ = ["Shutdown"]
+__all__ = ["Shutdown", "cancel_and_wait"]
 
 # Time that a call on a lot usually takes; a longer one gets its response at the cutoff.
 LOT_CALL_S = 0.3
@@ -103,14 +103,14 @@
         try:
             await asyncio.wait({task, self.cutoff_future()}, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            await cancel(task)
+            await cancel_and_wait(task)
         if task.cancelled():
             return False
         task.result()
         return True
 
 
-async def cancel(task: asyncio.Task) -> None:
+async def cancel_and_wait(task: asyncio.Task) -> None:
     """Cancel a task that has not ended, and wait until it has."""
     if task.done():
         return
