--- a/turmericreach_standins/fleet/store.py
+++ b/turmericreach_standins/fleet/store.py
@@ -29,6 +29,8 @@
         Apply no call and send no response.
     lose_write_responses : int
         Number of next writes that are applied without a response.
+    silent_kind : str
+        Kind whose writes are all applied without a response, empty for none.
     garbled_write_responses : int
         Number of next writes that are applied and whose response cannot be decoded.
     late_writes : int
@@ -50,6 +52,7 @@
     refuse: bool = False
     silent: bool = False
     lose_write_responses: int = 0
+    silent_kind: str = ""
     garbled_write_responses: int = 0
     late_writes: int = 0
     delay_s: float = 0.0
@@ -205,6 +208,9 @@
         if self.faults.write_status is not None:
             responder.send(self.faults.write_status)
             return
+        if kind == self.faults.silent_kind:
+            await request.disconnected.wait()
+            return
         if self.faults.lose_write_responses > 0:
             self.faults.lose_write_responses -= 1
             await request.disconnected.wait()
