Parse few events of a stream ahead

Events that are parsed together are kept while other requests get a turn, and an event occupies some hundred times the bytes of a short comment; 64 KiB of comments in each of 80 streams explain the rest.

A stream is parsed 2 KiB at a time.

--- a/turmericreach/node/streams.py
+++ b/turmericreach/node/streams.py
@@ -1,6 +1,7 @@
 """Forwarding of event streams, event by event as they arrive."""
 
 import asyncio
+from collections.abc import Iterator
 
 from turmericreach.batches.event_stream import EventParser, StreamEvent, follows
 from turmericreach.coordination.stream_origins import StreamOrigins
@@ -21,6 +22,9 @@
 UNKNOWN_RETRY_S = 0.3
 # After so many events of a stream, other requests get a turn.
 EVENTS_PER_TURN = 64
+# A parsed event occupies some hundred times the bytes of a short one, and a stream keeps the events
+# of a piece while other requests get their turn.
+PIECE_BYTES = 2048
 # A target that ended starts again within some seconds.
 RETURN_RETRY_S = 1.0
 # Bound on the attempts of a stream that targets reject.
@@ -163,7 +167,7 @@
         parser = EventParser()
         count = 0
         async for chunk in attempt.connection.body_chunks():
-            for event in parser.feed(chunk):
+            for event in parse_in_pieces(parser, chunk):
                 count += 1
                 if count % EVENTS_PER_TURN == 0:
                     await asyncio.sleep(0)
@@ -202,3 +206,9 @@
         if event.spliced:
             return False
         return event.is_comment() or follows(exchange.forwarded_event_id, event.id)
+
+
+def parse_in_pieces(parser: EventParser, chunk: bytes) -> Iterator[StreamEvent]:
+    """Yield the events of a chunk, of which few are parsed ahead."""
+    for start in range(0, len(chunk), PIECE_BYTES):
+        yield from parser.feed(chunk[start : start + PIECE_BYTES])
