--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -369,6 +369,10 @@
         self.runs = []
         self.on_run = lambda worker, attempt: None
         self.on_end = lambda worker, attempt, whole: None
+        self.on_event = lambda worker, attempt, number: None
+        # Attempts whose response has no length and ends with its channel.
+        self.unframed = set()
+        self.events_of = {}
         self.server = Server(self.handle)
 
     async def start(self):
@@ -465,15 +469,16 @@
         last = call.headers.get("last-event-id")
         first = int(last) + 1 if last is not None else 1
         version = self.models.get(model, 1)
+        framed = attempt not in self.unframed
         fields = [
             *head,
             ("X-Weight-Versions", str(version)),
             ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
+            ("Transfer-Encoding", "chunked") if framed else ("Connection", "close"),
         ]
         text = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields)
         channel.write(text.encode() + b"\r\n")
-        for number in range(first, self.events + 1):
+        for number in range(first, self.events_of.get(attempt, self.events) + 1):
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(channel.closed.wait(), self.event_s)
             if channel.closed.is_set():
@@ -483,8 +488,13 @@
                 version = self.models[model]
                 prefix = f"x-weight-versions: {version}\n"
             event = f"{prefix}id: {number}\ndata: {attempt}-{number}\n\n".encode()
-            channel.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        channel.write(b"0\r\n\r\n")
+            chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            channel.write(chunk if framed else event)
+            self.on_event(self, attempt, number)
+        if framed:
+            channel.write(b"0\r\n\r\n")
+        else:
+            channel.writer.close()
         return True
 
     def load(self):
@@ -525,6 +535,87 @@
         self.register()
 
 
+class RemoteStore:
+    """The store as a worker in a process of its own reaches it."""
+
+    def __init__(self, address):
+        self.address = address
+        self.sent = set()
+
+    def put(self, kind, name, spec):
+        task = asyncio.ensure_future(self.write(kind, name, spec))
+        self.sent.add(task)
+        task.add_done_callback(self.sent.discard)
+
+    async def write(self, kind, name, spec):
+        fields = [("Host", self.address), ("Content-Type", "application/json")]
+        body = json.dumps({"metadata": {"name": name}, "spec": spec}).encode()
+        answer = await call(self.address, "POST", f"/api/objects/{kind}", fields, body)
+        if answer is not None and answer[0] == 409:
+            await call(self.address, "PUT", f"/api/objects/{kind}/{name}", fields, body)
+
+
+class WorkerProcess:
+    """A worker in a process of its own, which prints what it runs."""
+
+    def __init__(self, record, store_address, options):
+        self.record = record
+        self.store_address = store_address
+        self.options = options
+        self.process = None
+        self.reader = None
+        self.on_line = lambda words: None
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(Path(__file__).resolve()),
+            "worker",
+            self.store_address,
+            json.dumps(self.options),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.reader = asyncio.ensure_future(self.read())
+
+    async def read(self):
+        async for line in self.process.stdout:
+            words = line.decode().split()
+            if words[0] != "event":
+                self.record.add(f"worker {self.options['worker_id']}: {' '.join(words)}")
+            self.on_line(words)
+
+    def kill(self):
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGKILL)
+        self.record.add(f"worker {self.options['worker_id']}: SIGKILL")
+
+    async def end(self):
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+
+
+async def serve_worker(store_address, options):
+    """Serve as one worker until killed."""
+    unframed = options.pop("unframed", [])
+    events_of = options.pop("events_of", {})
+
+    class Printed:
+        def add(self, text):
+            print("order", text, flush=True)
+
+    worker = Worker(RemoteStore(store_address), Printed(), **options)
+    worker.unframed = set(unframed)
+    worker.events_of = events_of
+    worker.on_run = lambda worker, attempt: print("runs", attempt, flush=True)
+    worker.on_end = lambda worker, attempt, whole: print(
+        "finished" if whole else "dropped", attempt, flush=True
+    )
+    worker.on_event = lambda worker, attempt, number: print("event", attempt, number, flush=True)
+    await worker.start()
+    await asyncio.Event().wait()
+
+
 # Gateways
 
 
@@ -782,6 +873,7 @@
         self.work = Path(tempfile.mkdtemp(prefix="review-3-"))
         self.store = Store(self.record)
         self.workers = {}
+        self.processes = []
         self.gateways = {}
         self.bounds = {
             "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4.5,
@@ -810,6 +902,8 @@
     async def stop(self):
         for gateway in self.gateways.values():
             await gateway.end()
+        for process in self.processes:
+            await process.end()
         for worker in self.workers.values():
             worker.server.stop()
         self.store.server.stop()
@@ -839,3 +933,7 @@
             scene.record.save()
 
     sys.exit(asyncio.run(run()))
+
+
+if __name__ == "__main__" and sys.argv[1:2] == ["worker"]:
+    asyncio.run(serve_worker(sys.argv[2], json.loads(sys.argv[3])))
