--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,6 @@
-"""A worker is killed while it sends a text whose response has no length."""
+"""A batch job is accepted, then its route moves to another service and the old worker leaves."""
 
 import asyncio
-import os
 import sys
 import time
 from pathlib import Path
@@ -13,92 +12,98 @@
 import standins_3 as stand  # noqa: E402
 
 MODEL = "fitting"
-EVENTS = 12
-LONG_EVENTS = 60
-ITEMS = 40
-LOT = "1a00"
-# One of the 40 responses has no length: the long one of the last item.
-LONG = f"{LOT}{ITEMS - 1:04x}"
+TIME_LIMIT_S = 12.0
+IDLE_S = 5.0
 
 
-def config(version):
+def config(version, service):
     routes = [
-        stand.route("roll", "/roll/", "rollout", "models", dueMs=7500, queueTtlS=40),
+        stand.route("roll", "/roll/", "rollout", service, dueMs=7500, queueTtlS=40),
         stand.route("score", "/score/", "safe", "portal", timeoutMs=1500, maxAttempts=4),
     ]
-    return stand.configuration(version, routes, ["models"], [MODEL])
+    return stand.configuration(version, routes, ["models-a", "models-b"], [MODEL])
 
 
 async def play(scene, trouble):
     record = scene.record
     await scene.store.start()
-    scene.store.put("config", "main", config(1))
+    scene.store.put("config", "main", config(1, "models-a"))
+    record.add("operator: configuration 1, route roll to models-a")
     await scene.add_worker("p1", "portal")
     await scene.add_worker("p2", "portal")
-    killed = asyncio.Event()
-
-    def watch(process):
-        def on_line(words):
-            if not trouble or killed.is_set() or words[:2] != ["event", LONG]:
-                return
-            if int(words[2]) == 20:
-                record.add(f"event 20 of {LONG} has been sent")
-                killed.set()
-                # The next event is due in 0.1 s.
-                asyncio.get_running_loop().call_later(0.03, process.kill)
-
-        process.on_line = on_line
-
-    for number in range(8):
-        options = {
-            "worker_id": f"e{number + 1}",
-            "service": "models",
-            "models": {MODEL: 1},
-            "events": EVENTS,
-            "event_s": 0.1,
-            "slots": 8,
-            # For trials: FRAMED=1 sends that response in chunks, like the others.
-            "unframed": [] if os.environ.get("FRAMED") else [LONG],
-            "events_of": {LONG: LONG_EVENTS},
-        }
-        process = stand.WorkerProcess(record, scene.store.address, options)
-        watch(process)
-        scene.processes.append(process)
-        await process.start()
+    options = {"models": {MODEL: 1}, "events": 20, "event_s": 0.1, "slots": 8}
+    old = await scene.add_worker("a1", "models-a", **options)
+    new = [await scene.add_worker(name, "models-b", **options) for name in ("b1", "b2")]
+    at_worker, finished = {}, {}
+    for worker in (old, *new):
+        worker.on_run = lambda worker, item: (
+            at_worker.__setitem__(item, None),
+            record.add(f"worker {worker.id}: runs {item}"),
+        )
+        worker.on_end = lambda worker, item, whole: (
+            at_worker.__setitem__(item, time.monotonic()),
+            finished.__setitem__(item, whole or finished.get(item, False)),
+            record.add(f"worker {worker.id}: {'finished' if whole else 'dropped'} {item}"),
+        )
     for number in range(3):
-        await scene.add_gateway(f"front-{number + 1}", f"127.0.0.{31 + number}", wait=False)
+        await scene.add_gateway(f"front-{number + 1}", f"127.0.0.{11 + number}", wait=False)
     for gateway in scene.gateways.values():
         await gateway.wait_ready()
     await asyncio.sleep(4.0)
 
     gateways = list(scene.gateways.values())
-    document = stand.lot_document(LOT, MODEL, ITEMS // 4, 4)
-    document["items"][-1]["headers"]["X-Length-Hint"] = str(LONG_EVENTS * 10)
-    document["items"][-1]["headers"]["X-Token-Counts"] = f"300,{LONG_EVENTS * 10}"
-    document["items"][-1]["tokens"] = 300 + LONG_EVENTS * 10
-    trainer = stand.Trainer(record, LOT, document, gateways[0], gateways[1:])
+    lot = "1a00"
+    trainer = stand.Trainer(record, lot, stand.lot_document(lot, MODEL, 6, 4), gateways[0], gateways[1:])
     if not await trainer.submit():
         return 2
-    await trainer.read_until(trainer.submitted_at + 25.0)
-    record.add(f"{len(trainer.listed)} of {ITEMS} listed")
-    if trouble and not killed.is_set():
-        record.add("the worker was not killed")
-        return 2
-    if len(trainer.listed) < ITEMS:
-        record.add("not all items were listed in time; the case needs them")
-        return 2
-    broken = 0
-    for result in trainer.listed:
-        count = LONG_EVENTS if result["id"] == LONG else EVENTS
-        whole = "\n".join(f"{result['id']}-{number}" for number in range(1, count + 1))
-        if result["id"] == LONG:
-            lines = len(result["text"].split("\n"))
-            record.add(f"{LONG}: {result['state']}, {lines} of {count} events, score {result.get('score')}")
-        if result["state"] == "completed" and result["text"] != whole:
-            broken += 1
-            lines = len(result["text"].split("\n"))
-            record.add(f"MIXED broken: {result['id']} is completed with {lines} of {count} events")
-    if not broken:
+    limit = trainer.submitted_at + TIME_LIMIT_S
+
+    async def operator():
+        await asyncio.sleep(1.0)
+        scene.store.put("config", "main", config(2, "models-b"))
+        record.add("operator: configuration 2, route roll to models-b (acknowledged)")
+        await asyncio.sleep(2.0)
+        await old.leave()
+
+    async def other_trainer():
+        """A batch job submitted under configuration 2 shows that models-b serves."""
+        await asyncio.sleep(6.0)
+        second = stand.Trainer(
+            record, "1b00", stand.lot_document("1b00", MODEL, 1, 4), gateways[1], gateways
+        )
+        await second.submit()
+        await second.read_until(time.monotonic() + 8.0)
+
+    tasks = [asyncio.ensure_future(operator())] if trouble else []
+    tasks.append(asyncio.ensure_future(other_trainer()))
+    await trainer.read_until(limit)
+    now = time.monotonic()
+    results = {result["id"]: result for result in trainer.listed}
+    busy = {worker.id: len(worker.running) for worker in new}
+    record.add(f"time limit of the step: {len(results)} of 24 listed; at work at models-b: {busy}")
+    lost = []
+    for item in trainer.document["items"]:
+        name = item["id"]
+        if name in results or finished.get(name):
+            continue
+        if name in at_worker and at_worker[name] is None:
+            continue
+        since = at_worker.get(name) or trainer.accepted_at
+        if now - since >= IDLE_S:
+            lost.append(f"{name} ({now - since:.1f} s)")
+    await asyncio.gather(*tasks, return_exceptions=True)
+    half = sum(worker.slots for worker in new) / 2
+    begun = len(at_worker) > 0
+    broken = bool(lost) and begun and sum(busy.values()) < half
+    if broken:
+        record.add(
+            f"LOST broken: {len(lost)} items of lot {lot} were at no worker for 5 s and more when "
+            f"the step ran out of time: {', '.join(lost)}"
+        )
+        # What becomes of them later is recorded only.
+        await trainer.read_until(time.monotonic() + 10.0)
+        record.add(f"10 s later: {len(trainer.listed)} of 24 listed")
+    else:
         record.add("the rule held")
     return 1 if broken else 0
 
