--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Two trainers share two model workers, and the one that serves the second model is lost for good."""
+"""Four trainers share four model workers, and the one of the last model is lost for good."""
 
 import asyncio
 import sys
@@ -11,12 +11,16 @@
 
 import standins_3 as stand  # noqa: E402
 
-MODELS = ("alpha", "beta")
+MODELS = ("alpha", "beta", "gamma", "delta")
+# The model that is still trained at the end.
+LAST = "delta"
+ENGINES = ("e1", "e2", "e3", "e4")
 TIME_LIMIT_S = 12.0
 IDLE_S = 5.0
 
 
 def config(version):
+    """Return a configuration of the operator."""
     routes = [
         stand.route("roll", "/roll/", "rollout", "models", dueMs=7500, queueTtlS=40),
         stand.route("score", "/score/", "safe", "portal", timeoutMs=1500, maxAttempts=4),
@@ -25,6 +29,7 @@
 
 
 async def play(scene, trouble):
+    """Play the case and return its exit code."""
     record = scene.record
     await scene.store.start()
     scene.store.put("config", "main", config(1))
@@ -45,7 +50,7 @@
         finished[item] = whole or finished.get(item, False)
         record.add(f"worker {worker.id}: {'finished' if whole else 'dropped'} {item}")
 
-    for name in ("e1", "e2"):
+    for name in ENGINES:
         worker = await scene.add_worker(
             name, "models", models=dict.fromkeys(MODELS, 1), events=20, event_s=0.1, slots=8
         )
@@ -66,10 +71,8 @@
     async def train(model, steps, door):
         """Step k is asked once version k is named, and allows k - 1 and newer."""
         for step in range(steps):
-            lot = f"{model[0]}{step}00".replace("l", "1")
-            document = stand.lot_document(
-                lot, model, 4, 2, min_version=max(step - 1, 1), step=step
-            )
+            lot = f"{MODELS.index(model) + 10:x}{step}00"
+            document = stand.lot_document(lot, model, 4, 2, min_version=max(step - 1, 1), step=step)
             trainer = stand.Trainer(record, lot, document, door, gateways)
             if not await trainer.submit():
                 raise RuntimeError("a batch job was not accepted")
@@ -79,12 +82,14 @@
             if step + 1 >= 2:
                 name_version(model, step + 1)
 
-    await asyncio.gather(train("alpha", 4, gateways[0]), train("beta", 4, gateways[1]))
-    record.add("the training run of alpha is over")
+    await asyncio.gather(
+        *(train(model, 4, gateways[number % 3]) for number, model in enumerate(MODELS))
+    )
+    record.add(f"the training runs are over, but for that of {LAST}")
     await asyncio.sleep(3.0)
 
-    lot = "b400"
-    document = stand.lot_document(lot, "beta", 6, 4, min_version=3, step=4)
+    lot = "d400"
+    document = stand.lot_document(lot, LAST, 6, 4, min_version=3, step=4)
     trainer = stand.Trainer(record, lot, document, gateways[1], gateways)
     if not await trainer.submit():
         return 2
@@ -95,12 +100,12 @@
     if trouble:
         await asyncio.sleep(1.0)
         at_work = {
-            name: sum(item in scene.workers[name].running for item in items) for name in ("e1", "e2")
+            name: sum(item in scene.workers[name].running for item in items) for name in ENGINES
         }
         record.add(f"at work on {lot}: {at_work}")
         lost_worker = max(at_work, key=at_work.get)
         if sum(bool(count) for count in at_work.values()) != 1:
-            record.add("both workers run items of the batch job; the case needs one")
+            record.add("not one worker alone runs the items of the batch job; the case needs that")
             return 2
         scene.workers[lost_worker].server.stop()
         record.add(f"worker {lost_worker}: lost for good")
@@ -117,7 +122,7 @@
     await trainer.read_until(limit)
     now = time.monotonic()
     results = {result["id"] for result in trainer.listed}
-    left = [name for name in ("e1", "e2") if name != lost_worker]
+    left = [name for name in ENGINES if name != lost_worker]
     busy = sum(len(scene.workers[name].running) for name in left)
     record.add(
         f"time limit of the step: {len(results)} of {len(items)} listed, {busy} at work at {left}, "
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -17,6 +17,7 @@
 
 
 def config(version, service):
+    """Return a configuration of the operator that routes the batch jobs to a service."""
     routes = [
         stand.route("roll", "/roll/", "rollout", service, dueMs=7500, queueTtlS=40),
         stand.route("score", "/score/", "safe", "portal", timeoutMs=1500, maxAttempts=4),
@@ -25,6 +26,7 @@
 
 
 async def play(scene, trouble):
+    """Play the case and return its exit code."""
     record = scene.record
     await scene.store.start()
     scene.store.put("config", "main", config(1, "models-a"))
@@ -53,7 +55,9 @@
 
     gateways = list(scene.gateways.values())
     lot = "1a00"
-    trainer = stand.Trainer(record, lot, stand.lot_document(lot, MODEL, 6, 4), gateways[0], gateways[1:])
+    trainer = stand.Trainer(
+        record, lot, stand.lot_document(lot, MODEL, 6, 4), gateways[0], gateways[1:]
+    )
     if not await trainer.submit():
         return 2
     limit = trainer.submitted_at + TIME_LIMIT_S
@@ -66,7 +70,7 @@
         await old.leave()
 
     async def other_trainer():
-        """A batch job submitted under configuration 2 shows that models-b serves."""
+        """Submit a batch job under configuration 2, which shows that models-b serves."""
         await asyncio.sleep(6.0)
         second = stand.Trainer(
             record, "1b00", stand.lot_document("1b00", MODEL, 1, 4), gateways[1], gateways
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -1,7 +1,7 @@
 """Stand-ins for the scripts of the third review: metadata store, workers, trainer, gateways.
 
-Only the standard library is used. The stand-ins follow the users' pages; where a page is silent they
-behave like a sound store, worker or client. Every address is a loopback address.
+Only the standard library is used. The stand-ins follow the users' pages; where a page is silent
+they behave like a sound store, worker or client. Every address is a loopback address.
 """
 
 import asyncio
@@ -19,7 +19,8 @@
 from pathlib import Path
 from urllib.parse import parse_qs, unquote
 
-ROOT = Path(__file__).resolve().parent.parent
+PROGRAM = Path(__file__).resolve()
+ROOT = PROGRAM.parent.parent
 HOST = "shop.example"
 LOOPBACK = "127.0.0.1"
 STORE_ANSWER_S = 0.004
@@ -39,18 +40,22 @@
         self.lines = []
 
     def now(self):
+        """Return the seconds since the start."""
         return time.monotonic() - self.began
 
     def add(self, text):
+        """Add a line and print it."""
         line = f"{self.now():8.3f} {text}"
         self.lines.append(line)
         print(line, flush=True)
 
     def save(self):
+        """Write the lines to the file."""
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
 def free_port(ip=LOOPBACK):
+    """Return a port of a loopback address that nobody uses now."""
     with socket.socket() as probe:
         probe.bind((ip, 0))
         return probe.getsockname()[1]
@@ -82,20 +87,24 @@
         self.waiting_for = ""
 
     def write(self, data):
+        """Send bytes, unless the channel is silent or closed."""
         if not self.muted and not self.writer.is_closing():
             self.writer.write(data)
 
     def respond(self, status, headers=(), body=b""):
+        """Send a response with a length."""
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines.append(f"Content-Length: {len(body)}")
         self.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
     def abort(self):
+        """Reset the channel."""
         self.writer.transport.abort()
 
 
 async def read_head(reader):
+    """Read the head of a message and return its first line and its fields."""
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -116,11 +125,13 @@
         self.address = ""
 
     async def start(self, ip=LOOPBACK):
+        """Listen on a free port."""
         self.server = await asyncio.start_server(self.serve, ip, 0, limit=1 << 22)
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{ip}:{port}"
 
     async def serve(self, reader, writer):
+        """Serve one channel until its client has left."""
         channel = Channel(reader, writer)
         self.channels.add(channel)
         try:
@@ -150,19 +161,21 @@
                 writer.close()
 
     async def wait_for_end(self, reader, channel, work):
+        """Wait until the client has left or the work is done."""
         while not reader.at_eof() and reader.exception() is None and not work.done():
             if channel.writer.is_closing():
                 return
             await asyncio.sleep(0.01)
 
     def stop(self):
+        """Stop listening and reset all channels."""
         self.server.close()
         for channel in list(self.channels):
             channel.abort()
 
 
 async def call(address, method, target, headers=(), body=b"", timeout_s=5.0):
-    """Make one call on a new channel; return status, headers and body, or None without an answer."""
+    """Make one call on a new channel and return status, fields and body, None without an answer."""
     ip, _, port = address.rpartition(":")
     writer = None
     try:
@@ -200,10 +213,12 @@
         self.server = Server(self.handle)
 
     async def start(self):
+        """Listen on a free port."""
         await self.server.start()
 
     @property
     def address(self):
+        """Address of the store."""
         return self.server.address
 
     def put(self, kind, name, spec=None, status=None):
@@ -231,23 +246,27 @@
         return value
 
     def remove(self, kind, name):
+        """Remove an object."""
         value = json.loads(json.dumps(self.objects.pop((kind, name))))
         self.revision += 1
         value["metadata"]["revision"] = self.revision
         self.note(kind, True, value)
 
     def note(self, kind, removed, value):
+        """Add a change to the history and wake the watches."""
         self.history.append((self.revision, kind, removed, value))
         self.changed.set()
         self.changed = asyncio.Event()
 
     def spec(self, kind, name):
+        """Return the spec of an object, None if it does not exist."""
         return (self.objects.get((kind, name)) or {}).get("spec")
 
     def status(self, kind, name):
+        """Return the status of an object, None if it has none."""
         return (self.objects.get((kind, name)) or {}).get("status")
 
-    def silence_watches(self, kind, waited_s=0.0):
+    def silence_watches(self, kind):
         """Let the open channels that wait for changes of a kind go silent for good, unreset.
 
         New channels work.
@@ -260,6 +279,7 @@
         return found
 
     async def handle(self, call, channel):
+        """Handle a call."""
         await asyncio.sleep(STORE_ANSWER_S)
         parts = [unquote(part) for part in call.path.removeprefix("/api/objects/").split("/")]
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
@@ -270,10 +290,12 @@
         self.send(channel, status, value)
 
     def send(self, channel, status, value):
+        """Send a JSON response."""
         body = b"" if value is None else json.dumps(value).encode()
         channel.respond(status, [("Content-Type", "application/json")], body)
 
     async def read(self, call, channel, kind, name):
+        """Handle a read of one object, a list or a watch."""
         if name is not None:
             value = self.objects.get((kind, name))
             self.send(channel, 200 if value else 404, value)
@@ -289,6 +311,7 @@
         self.send(channel, 200, page)
 
     async def watch(self, call, channel, kind):
+        """Send the changes after a revision, waiting for the first one."""
         since = int(call.query["watch"])
         deadline = time.monotonic() + int(call.query.get("waitMs", "0")) / 1000
         channel.waiting_for = kind
@@ -302,7 +325,10 @@
             left_s = deadline - time.monotonic()
             if events or left_s <= 0 or channel.closed.is_set():
                 break
-            waits = {asyncio.ensure_future(changed.wait()), asyncio.ensure_future(channel.closed.wait())}
+            waits = {
+                asyncio.ensure_future(changed.wait()),
+                asyncio.ensure_future(channel.closed.wait()),
+            }
             await asyncio.wait(waits, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
             for wait in waits:
                 wait.cancel()
@@ -314,6 +340,7 @@
         self.send(channel, 200, {"events": events, "storeRevision": self.revision})
 
     def write(self, call, kind, name, is_status):
+        """Apply a write and return the status and the body of its response."""
         if call.method == "DELETE":
             if (kind, name) not in self.objects:
                 return 404, None
@@ -348,7 +375,9 @@
         Attempt id of each request that is at work, and when it began.
     """
 
-    def __init__(self, store, record, worker_id, service, models=None, events=20, event_s=0.1, slots=8):
+    def __init__(
+        self, store, record, worker_id, service, models=None, events=20, event_s=0.1, slots=8
+    ):
         self.store = store
         self.record = record
         self.id = worker_id
@@ -376,13 +405,16 @@
         self.server = Server(self.handle)
 
     async def start(self):
+        """Listen and register in the store."""
         await self.server.start()
         self.register()
 
     def register(self):
+        """Write the entry of this worker to the store."""
         self.store.put("servers", self.id, self.entry())
 
     def entry(self):
+        """Return the entry of this worker in service discovery."""
         return {
             "service": self.service,
             "address": self.server.address,
@@ -398,6 +430,7 @@
         }
 
     def named_models(self):
+        """Return the models with their versions, as entries and reports have them."""
         return [
             {"name": name, "version": version, "adapters": []}
             for name, version in self.models.items()
@@ -414,6 +447,7 @@
         self.record.add(f"worker {self.id}: has left")
 
     async def handle(self, call, channel):
+        """Handle a request, an order or a call for the report."""
         if call.path == "/api/report":
             body = json.dumps(self.report()).encode()
             channel.respond(200, [("Content-Type", "application/json")], body)
@@ -447,6 +481,7 @@
             self.free.release()
 
     async def run(self, call, channel, attempt, echo):
+        """Run a request in one of the slots."""
         self.running[attempt] = time.monotonic()
         self.runs.append((time.monotonic(), attempt))
         self.on_run(self, attempt)
@@ -465,6 +500,7 @@
             self.on_end(self, attempt, whole)
 
     async def generate(self, call, channel, attempt, head):
+        """Stream the events of a text and return whether all were sent."""
         model = call.headers["x-model"]
         last = call.headers.get("last-event-id")
         first = int(last) + 1 if last is not None else 1
@@ -498,9 +534,11 @@
         return True
 
     def load(self):
+        """Return the field that states the load."""
         return "X-Server-Load", f"{len(self.running)},{self.waiting},{self.slots}"
 
     def report(self):
+        """Return the status report."""
         return {
             "stage": "both",
             "models": self.named_models(),
@@ -515,6 +553,7 @@
         }
 
     def order(self, order):
+        """Accept or reject an order and return the status of the response."""
         self.record.add(
             f"worker {self.id}: order of {order['holder']}, fence {order['fence']}: "
             f"{order['model']} version {order['version']}"
@@ -531,6 +570,7 @@
         return 202
 
     def loaded(self, model, version):
+        """Take the version of an order that has been carried out."""
         self.models[model] = version
         self.register()
 
@@ -543,11 +583,13 @@
         self.sent = set()
 
     def put(self, kind, name, spec):
+        """Create or replace an object in the background."""
         task = asyncio.ensure_future(self.write(kind, name, spec))
         self.sent.add(task)
         task.add_done_callback(self.sent.discard)
 
     async def write(self, kind, name, spec):
+        """Create an object, or replace it if it exists."""
         fields = [("Host", self.address), ("Content-Type", "application/json")]
         body = json.dumps({"metadata": {"name": name}, "spec": spec}).encode()
         answer = await call(self.address, "POST", f"/api/objects/{kind}", fields, body)
@@ -567,9 +609,10 @@
         self.on_line = lambda words: None
 
     async def start(self):
+        """Start the process."""
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(Path(__file__).resolve()),
+            str(PROGRAM),
             "worker",
             self.store_address,
             json.dumps(self.options),
@@ -578,6 +621,7 @@
         self.reader = asyncio.ensure_future(self.read())
 
     async def read(self):
+        """Pass on what the process prints."""
         async for line in self.process.stdout:
             words = line.decode().split()
             if words[0] != "event":
@@ -585,11 +629,13 @@
             self.on_line(words)
 
     def kill(self):
+        """End the process by SIGKILL."""
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(signal.SIGKILL)
         self.record.add(f"worker {self.options['worker_id']}: SIGKILL")
 
     async def end(self):
+        """End the process if it still runs."""
         with contextlib.suppress(ProcessLookupError):
             self.process.kill()
         await self.process.wait()
@@ -642,6 +688,7 @@
         self.process = None
 
     def settings(self):
+        """Return the settings as the platform writes them."""
         return {
             "node": self.name,
             "role": "gateway",
@@ -669,8 +716,16 @@
             "entry": "vip",
             "heartbeatMs": 1200,
             "contracts": [
-                "base", "drain", "config", "cost", "recover", "samples", "stream", "engine",
-                "batch", "platform",
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "samples",
+                "stream",
+                "engine",
+                "batch",
+                "platform",
             ],
             "bounds": self.bounds,
             "platform": {
@@ -685,6 +740,7 @@
         }
 
     async def launch(self):
+        """Start the program with the command of the deploy file."""
         self.settings_file.write_text(json.dumps(self.settings()))
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
@@ -699,19 +755,25 @@
         self.record.add(f"{self.name}: started at {self.caller_address}")
 
     async def is_ready(self):
+        """Return whether the ready check succeeds."""
         answer = await call(self.ready_address, "GET", "/api/ready", [("Host", "x")], timeout_s=1.0)
         return answer is not None and answer[0] == 200
 
     async def wait_ready(self, timeout_s=20.0):
+        """Wait until the ready check succeeds."""
         async with asyncio.timeout(timeout_s):
-            while not await self.is_ready():
+            while True:
+                if await self.is_ready():
+                    return
                 await asyncio.sleep(0.05)
 
     def kill(self):
+        """End the process by SIGKILL."""
         self.process.send_signal(signal.SIGKILL)
         self.record.add(f"{self.name}: SIGKILL")
 
     async def end(self):
+        """End the process if it still runs."""
         if self.process is None:
             return
         with contextlib.suppress(ProcessLookupError):
@@ -723,6 +785,7 @@
 
 
 def route(name, prefix, kind, service, **fields):
+    """Return a route as the operator writes it."""
     return {
         "name": name,
         "host": HOST,
@@ -738,6 +801,7 @@
 
 
 def configuration(version, routes, engine_services, models, plain_services=("portal",)):
+    """Return a configuration as the operator writes it."""
     engine = {"slots": 8, "kvCapacityTokens": 89389, "kvTokenBytes": 163840, "stride": 10}
     engine["models"] = [{"name": name} for name in models]
     services = [
@@ -793,8 +857,8 @@
 class Trainer:
     """Submits one batch job at a gateway, reads it twice a second, and ends it.
 
-    All its channels reach one gateway, as the platform selects the daemon by a hash of the consumer;
-    retries reach the others.
+    All its channels reach one gateway, as the platform selects the daemon by a hash of the
+    consumer; retries reach the others.
     """
 
     def __init__(self, record, lot, document, gateway, others=()):
@@ -807,9 +871,11 @@
         self.submitted_at = None
 
     def headers(self, **more):
+        """Return the fields of a call on the batch job."""
         return [("Host", HOST), *more.items()]
 
     async def submit(self):
+        """Submit the batch job until it is accepted, and return whether it was."""
         body = json.dumps(self.document).encode()
         self.submitted_at = time.monotonic()
         for number in range(8):
@@ -830,6 +896,7 @@
         return False
 
     async def read_once(self, gateway=None):
+        """Read further results and return the status, None without a response."""
         gateway = gateway or self.gateways[0]
         answer = await call(
             gateway.caller_address,
@@ -852,10 +919,13 @@
             status = await self.read_once()
             if status != 200 or len(self.listed) != reported:
                 reported = len(self.listed)
-                self.record.add(f"trainer: GET lot {self.lot}: {status}, {reported} of {total} listed")
+                self.record.add(
+                    f"trainer: GET lot {self.lot}: {status}, {reported} of {total} listed"
+                )
             await asyncio.sleep(max(0.5 - (time.monotonic() - began), 0.0))
 
     async def end(self, gateway=None):
+        """End the batch job and return the status, None without a response."""
         gateway = gateway or self.gateways[0]
         answer = await call(
             gateway.caller_address, "DELETE", f"/api/lots/{self.lot}", [("Host", HOST)]
@@ -876,23 +946,40 @@
         self.processes = []
         self.gateways = {}
         self.bounds = {
-            "seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4.5,
-            "drainMs": 2000, "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000,
-            "rollbackSlackMs": 250, "skewMaxMs": 5000, "recoverS": 12, "passMs": 120,
-            "retryAfterS": 0, "finishS": 10, "statusS": 120, "cancelMs": 3000, "settleMs": 1000,
-            "quotaOverage": 0.1, "fencing": True, "leaseMs": 3000, "thawSlackMs": 300,
+            "seedLagS": 3,
+            "reuseAfterS": 2,
+            "contactMs": 3000,
+            "ackMs": 4000,
+            "catchUpS": 4.5,
+            "drainMs": 2000,
+            "graceS": 8,
+            "lossSlackMs": 200,
+            "configApplyMs": 2000,
+            "rollbackSlackMs": 250,
+            "skewMaxMs": 5000,
+            "recoverS": 12,
+            "passMs": 120,
+            "retryAfterS": 0,
+            "finishS": 10,
+            "statusS": 120,
+            "cancelMs": 3000,
+            "settleMs": 1000,
+            "quotaOverage": 0.1,
+            "fencing": True,
+            "leaseMs": 3000,
+            "thawSlackMs": 300,
         }
 
     async def add_worker(self, worker_id, service, **options):
+        """Start a worker in this process."""
         worker = Worker(self.store, self.record, worker_id, service, **options)
         await worker.start()
         self.workers[worker_id] = worker
         return worker
 
     async def add_gateway(self, name, ip, wait=True):
-        gateway = Gateway(
-            self.work, self.record, name, ip, self.store.address, self.bounds
-        )
+        """Start a gateway and wait until it is ready."""
+        gateway = Gateway(self.work, self.record, name, ip, self.store.address, self.bounds)
         self.gateways[name] = gateway
         await gateway.launch()
         if wait:
@@ -900,6 +987,7 @@
         return gateway
 
     async def stop(self):
+        """End everything."""
         for gateway in self.gateways.values():
             await gateway.end()
         for process in self.processes:
@@ -911,21 +999,20 @@
             shutil.copytree(self.work, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         shutil.rmtree(self.work, ignore_errors=True)
 
-    async def until(self, condition, timeout_s=15.0):
-        async with asyncio.timeout(timeout_s):
-            while not condition():
-                await asyncio.sleep(0.02)
-
 
 def main(folder, play, limit_s=110.0):
     """Play a case and exit with 1 if a rule was broken, 0 if it held, 2 if it could not run."""
 
     async def run():
         scene = Scene(folder)
+        loop = asyncio.get_running_loop()
+        # A script that is stopped ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(limit_s):
                 return await play(scene, os.environ.get("TROUBLE", "1") != "0")
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             scene.record.add(f"could not run: {type(error).__name__} {error}")
             return 2
         finally:
