Report items that wait although an engine has a free slot

The page on operation says what to do for each reason.

The engine stand-in states the version of the requested model.

--- a/turmericreach/batches/items.py
+++ b/turmericreach/batches/items.py
@@ -80,6 +80,8 @@
         Engine at which the item continues once its current run is cancelled.
     moves : int
         Number of moves so far.
+    reported_wait : float or None
+        Value of `waiting_since` of the last wait that was reported as too long, None if none was.
     """
 
     item: BatchItem
@@ -96,6 +98,11 @@
     task: asyncio.Task | None = None
     move_to: Target | None = None
     moves: int = 0
+    reported_wait: float | None = None
+
+    def is_waiting(self) -> bool:
+        """Return whether the item waits for an engine."""
+        return self.phase is ItemPhase.WAITING
 
     def run_text(self) -> Progress:
         """Return the text that the current run extends."""
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -5,6 +5,7 @@
 
 from turmericreach.batches.item_permits import ItemPermits
 from turmericreach.batches.run import BatchRun
+from turmericreach.batches.wait_reports import WaitReports
 from turmericreach.placement import (
     EngineState,
     ExpectedEnd,
@@ -56,6 +57,8 @@
         Loop time in seconds at which a change of that was last logged.
     wakeup : asyncio.Event
         Set to plan without waiting for the next interval.
+    wait_reports : WaitReports
+        Logs why items wait that could run.
     start_allowance : callable or None
         Returns how many items may start, by the number of those that run and need a score; None
         for any number.
@@ -72,6 +75,7 @@
         self.oversubscribed: frozenset[str] = frozenset()
         self.order_logged_at = float("-inf")
         self.wakeup = asyncio.Event()
+        self.wait_reports = WaitReports()
         self.start_allowance: Callable[[int], int | None] | None = None
 
     def wake(self) -> None:
@@ -107,6 +111,7 @@
     def dispatch(self) -> bool:
         """Start and move items as planned; return whether any item waits or runs."""
         now = asyncio.get_running_loop().time()
+        self.wait_reports.begin_planning(now)
         services: dict[str, list[BatchRun]] = {}
         for run in self.runs.values():
             services.setdefault(run.route.services[0].service, []).append(run)
@@ -121,7 +126,8 @@
         waiting = [item for run in runs for item in run.waiting_items(now)]
         if waiting:
             states = self.engines(targets, now)
-            starts = self.within_allowance(self.policy.starts(waiting, states, self.division))
+            planned = self.policy.starts(waiting, states, self.division)
+            starts = self.within_allowance(planned)
             self.log_order(waiting, states, now)
             for start in starts:
                 self.item_permits.use(start.engine)
@@ -130,12 +136,29 @@
                 priority = min(item.priority for item in waiting)
                 usable = restrict_versions(waiting, states, self.division)
                 self.item_permits.request(service, waiting, usable, priority)
+                self.report_waits(waiting, states, planned, now)
         running = [item for run in runs for item in run.items.running_items(now)]
         if running:
             for move in self.policy.moves(running, self.candidate_engines(targets, running, now)):
                 self.runs[move.item.lot].move_item(move.item, targets[move.engine])
         return any(run.is_active() for run in runs)
 
+    def report_waits(
+        self,
+        waiting: list[WaitingItem],
+        states: list[EngineState],
+        planned: list[Start],
+        now: float,
+    ) -> None:
+        """Report items that have waited for long although an engine has a free slot."""
+        held_back = {start.item.item for start in planned}
+        by_lot: dict[str, list[WaitingItem]] = {}
+        for item in waiting:
+            by_lot.setdefault(item.lot, []).append(item)
+        for lot, items in by_lot.items():
+            run = self.runs[lot]
+            self.wait_reports.report(run, items, states, self.division, held_back, now)
+
     def within_allowance(self, starts: list[Start]) -> list[Start]:
         """Return the starts without those of items that scorers could not keep up with."""
         if self.start_allowance is None:
--- a/turmericreach/telemetry/node_lot_events.py
+++ b/turmericreach/telemetry/node_lot_events.py
@@ -27,6 +27,7 @@
     "ITEM_STARTED",
     "ITEM_STOPPED",
     "ITEM_TEXT_DISCARDED",
+    "ITEM_WAITS",
     "LOT_ADMISSION",
     "LOT_COLLECTED",
     "ORDER_SENT",
@@ -64,6 +65,14 @@
     "items of {model} start by {order}, expected use of its engines {use}",
     extra=("lots", "items", "waiting_events", "due_in_s", "slots"),
 )
+ITEM_WAITS = Event(
+    "TR2518",
+    "item_waits",
+    Level.WARNING,
+    "item {item} of lot {lot} waits for {waited_s} s although it could run: {reason}",
+    "The page on operation says what to do for each reason.",
+    extra=("model", "min_version", "free_slots", "engines"),
+)
 LOT_ADMISSION = Event(
     "TR2516",
     "lot_admission",
--- a/turmericreach/telemetry/node_metrics.py
+++ b/turmericreach/telemetry/node_metrics.py
@@ -84,6 +84,13 @@
     "node_item_run_time", TIMING, "ms", "Duration of a run at an engine.", ("outcome",)
 )
 ITEM_WAIT = Metric("node_item_wait", TIMING, "ms", "Time that an item waited for an engine.")
+ITEM_WAITS = Metric(
+    "node_item_waits",
+    COUNTER,
+    "waits",
+    "Waits of items for seconds although a target of their route has a free slot, by reason.",
+    ("reason",),
+)
 SCORER_CALLS = Metric("node_scores", COUNTER, "calls", "Calls to scorers.", ("outcome",))
 RESULTS = Metric("node_results", COUNTER, "results", "Results listed.")
 RESULT_WRITE_DURATION = Metric(
@@ -285,6 +292,11 @@
     count_leaving(metrics, "item", fields)
 
 
+def count_item_wait(metrics: ServedMetrics, fields: dict[str, Any]) -> None:
+    """Count a wait of an item that could have run, by its reason."""
+    metrics.count(ITEM_WAITS, reason=fields["reason"])
+
+
 def count_leaving(metrics: ServedMetrics, kind: str, fields: dict[str, Any]) -> None:
     """Count a request to a target that had said that it leaves."""
     if fields["leaving_s"] is not None:
@@ -388,6 +400,7 @@
     events.BATCH_FINISHED.code: record_lot_duration,
     events.BATCH_REASSIGNED.code: count_reassigned_lot,
     events.ITEM_STARTED.code: record_item_start,
+    events.ITEM_WAITS.code: count_item_wait,
     events.ITEM_STOPPED.code: count_item_run,
     events.ITEM_BROKEN.code: count_item_run,
     events.ITEM_SCORED.code: count_scorer_call,
--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -327,7 +327,8 @@
 
     async def generate(self, request: Request, responder: Responder, attempt: str) -> None:
         """Stream events, starting after the last one that the caller has received."""
-        version = next(iter(self.models.values()), 1)
+        model = request.headers.get("x-model", "")
+        version = self.models.get(model, next(iter(self.models.values()), 1))
         last = request.headers.get("last-event-id")
         first = int(last) + 1 if last is not None else 1
         response_fields = [
