Look up the route of a lot at each decision

Cause: BatchRegistry.make_run took the route once, when the lot started at its owner, and ItemTable and BatchRun kept it.

RouteLookup looks the route up in the configuration in force. The due time and the item lifetime stay those of the acceptance and are stored with the lot. Items of a route that is missing for 5 s are abandoned. On related paths, a run at an engine that the route has left may move away, and a scorer call that has waited is looked up again.

--- a/benchmarks/policies/replay.py
+++ b/benchmarks/policies/replay.py
@@ -15,6 +15,7 @@
     LotPlan,
     Replay,
 )
+from tests.builders.item_tables import fixed_table
 from turmericreach.batches.arrivals import ModelArrival, next_arrival
 from turmericreach.batches.items import ItemPhase, ItemTable
 from turmericreach.batches.model import BatchItem, BatchSpec, Progress
@@ -181,7 +182,7 @@
         carried = frozenset(
             item.id for item in spec.items if not item.group.startswith(f"{spec.id}/")
         )
-        table = ItemTable(spec, route, self.now, float(TOKENS_PER_EVENT), carried)
+        table = fixed_table(spec, route, self.now, float(TOKENS_PER_EVENT), carried)
         for state in table.states.values():
             text = self.texts.pop(state.item.id, None)
             if text is not None:
--- a/tests/batches/test_checkpoints.py
+++ b/tests/batches/test_checkpoints.py
@@ -3,8 +3,8 @@
 import asyncio
 from types import SimpleNamespace
 
+from tests.builders.item_tables import fixed_table
 from turmericreach.batches.checkpoints import MAX_BYTES, CheckpointStore, select_texts
-from turmericreach.batches.items import ItemTable
 from turmericreach.batches.model import BatchItem, BatchSpec, Progress
 from turmericreach.batches.run import BatchRun
 from turmericreach.coordination.names import CHECKPOINTS_KIND
@@ -93,7 +93,7 @@
     checkpoints = SimpleNamespace(switch=ALWAYS, load=load, run=nothing)
     log = SimpleNamespace(load=nothing, listed=set(), results=[])
     run = BatchRun(
-        ItemTable(spec, route, asyncio.get_running_loop().time() - 5.0),
+        fixed_table(spec, route, asyncio.get_running_loop().time() - 5.0),
         log,
         None,
         None,
--- a/tests/builders/engine_replay.py
+++ b/tests/builders/engine_replay.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from tests.builders.item_tables import fixed_table
 from turmericreach.batches.items import ItemPhase, ItemState, ItemTable
 from turmericreach.batches.model import BatchItem, BatchSpec
 from turmericreach.placement import EngineState, ExpectedEnd
@@ -188,7 +189,7 @@
                 services = (WeightedService("engines", 1.0),)
                 route = Route("r", "h", "/x", RouteKind.BATCH, services, due_s=DUE_S)
                 route = attrs.evolve(route, item_lifetime_s=LIFETIME_S)
-                table = ItemTable(plan.spec, route, self.now, float(TOKENS_PER_EVENT))
+                table = fixed_table(plan.spec, route, self.now, float(TOKENS_PER_EVENT))
                 self.tables[plan.spec.id] = table
             self.advance(by_lot)
             self.place(by_lot)
--- a/tests/placement/test_slack.py
+++ b/tests/placement/test_slack.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from turmericreach.batches.items import ItemPhase, ItemTable
+from tests.builders.item_tables import fixed_table
+from turmericreach.batches.items import ItemPhase
 from turmericreach.batches.model import BatchItem, BatchSpec
 from turmericreach.placement import EngineState, LeastSlack, WaitingItem
 from turmericreach.placement.slack import plan_starts_by_slack
@@ -50,7 +51,7 @@
     )
     spec = BatchSpec("lot", "h", "/", 0, "m", 0, items, target_groups)
     route = Route("r", "h", "/", RouteKind.BATCH, (WeightedService("s", 1.0),))
-    return ItemTable(spec, route, 0.0, carried=frozenset(carried))
+    return fixed_table(spec, route, 0.0, carried=frozenset(carried))
 
 
 def test_surplus_groups_are_those_with_the_longest_items_left():
--- a/turmericreach/batches/calls.py
+++ b/turmericreach/batches/calls.py
@@ -158,7 +158,8 @@
         rejection = await self.reject_unservable(spec, owner)
         if rejection is not None:
             return rejection
-        stored = new_record_spec(spec, document, owner, uuid.uuid4().hex)
+        terms = self.registry.present_terms(host, path)
+        stored = new_record_spec(spec, document, owner, uuid.uuid4().hex, terms)
         try:
             object = await self.client.create(LOTS_KIND, lot, stored, started_at + SUBMIT_TIMEOUT_S)
         except Conflict as conflict:
--- a/turmericreach/batches/items.py
+++ b/turmericreach/batches/items.py
@@ -5,14 +5,16 @@
 
 import attrs
 
+from turmericreach.batches.lot_route import LotRoute, RouteSource
 from turmericreach.batches.model import BatchItem, BatchSpec, Progress
+from turmericreach.batches.records import AcceptedTerms
 from turmericreach.placement import (
     RunningItem,
     WaitingItem,
     continues_text,
     expected_remaining_events,
 )
-from turmericreach.services import Route, Target
+from turmericreach.services import Target
 
 __all__ = ["ItemPhase", "ItemState", "ItemTable"]
 
@@ -139,18 +141,16 @@
     ----------
     spec : BatchSpec
         The lot as submitted.
-    route : Route
-        Route of the lot.
+    routes : RouteSource
+        Knows the present route of the lot.
     submitted_at : float
         Loop time in seconds of the submission.
-    tokens_per_event : float
-        Number of tokens in one event of the route's engines.
+    terms : AcceptedTerms
+        What the trainer was promised with the acceptance; a later configuration does not change it.
     states : dict of str to ItemState
         State of each item by its id.
     carried : frozenset of str
         Ids of the items that were also in an earlier lot.
-    priority : int
-        Priority of the items, by default that of the route.
     members : dict of str to list of ItemState
         Items of each group.
     """
@@ -158,26 +158,48 @@
     def __init__(
         self,
         spec: BatchSpec,
-        route: Route,
+        routes: RouteSource,
         submitted_at: float,
-        tokens_per_event: float = 1.0,
+        terms: AcceptedTerms,
         carried: frozenset[str] = frozenset(),
-        priority: int | None = None,
     ):
         self.spec = spec
-        self.route = route
+        self.routes = routes
         self.submitted_at = submitted_at
-        self.tokens_per_event = tokens_per_event
+        self.terms = terms
         self.states = {item.id: ItemState(item) for item in spec.items}
         self.carried = carried
-        self.priority = route.priority if priority is None else priority
         self.members: dict[str, list[ItemState]] = {}
         for state in self.states.values():
             self.members.setdefault(state.item.group, []).append(state)
 
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the item lifetime is over, negative after that."""
-        return self.submitted_at + self.route.item_lifetime_s - now
+        return self.submitted_at + self.terms.item_lifetime_s - now
+
+    def due_in_s(self, now: float) -> float:
+        """Return the seconds until the lot is due, negative after that."""
+        return self.submitted_at + self.terms.due_s - now
+
+    def route(self) -> LotRoute | None:
+        """Return the present route of the lot, None if it has none."""
+        return self.routes.current()
+
+    def single_version(self) -> bool:
+        """Return whether all events of a result must come from one version of the weights."""
+        return self.routes.latest().route.single_version
+
+    def max_attempts(self) -> int:
+        """Return the number of failed runs after which an item is abandoned."""
+        return self.routes.latest().route.max_attempts
+
+    def priority(self) -> int:
+        """Return the priority of the items; 0 is the highest."""
+        return self.routes.latest().priority
+
+    def tokens_per_event(self) -> float:
+        """Return the number of tokens in one event of the route's engines."""
+        return self.routes.latest().tokens_per_event
 
     def has_active(self) -> bool:
         """Return whether any item waits for an engine or runs at one."""
@@ -228,8 +250,8 @@
             carried=item.id in self.carried,
             remaining_events=self.remaining_events(state),
             group_events=self.group_events(item.group),
-            due_in_s=self.submitted_at + self.route.due_s - now,
-            priority=self.priority,
+            due_in_s=self.due_in_s(now),
+            priority=self.priority(),
             excluded_s=excluded_s,
             software=state.progress.software,
             generated_events=len(state.progress.events),
@@ -238,7 +260,7 @@
 
     def remaining_events(self, state: ItemState) -> float:
         """Return the expected number of events that remain to be generated."""
-        expected = state.item.expected_tokens / self.tokens_per_event
+        expected = state.item.expected_tokens / self.tokens_per_event()
         return expected_remaining_events(expected, len(state.run_text().events))
 
     def group_events(self, group: str) -> float:
@@ -274,7 +296,7 @@
                     first_event_wait_s=ran_s if has_no_events else 0.0,
                     software=text.software,
                     generated_events=len(text.events),
-                    due_in_s=self.submitted_at + self.route.due_s - now,
+                    due_in_s=self.due_in_s(now),
                 )
             )
         return found
@@ -294,7 +316,7 @@
         """
         done = (ItemPhase.READY, ItemPhase.LISTED)
         left = sum(other.phase not in done for other in self.members[state.item.group])
-        return (self.submitted_at + self.route.due_s, left, state.item.group)
+        return (self.submitted_at + self.terms.due_s, left, state.item.group)
 
     def running_to_score(self) -> int:
         """Return the number of items that run and need a score."""
--- a/turmericreach/batches/records.py
+++ b/turmericreach/batches/records.py
@@ -9,8 +9,30 @@
 from turmericreach.batches.model import BatchSpec
 from turmericreach.metadata import StoredObject
 from turmericreach.platform.decoding import Fields
+from turmericreach.services import Route
 
-__all__ = ["BatchRecord", "new_record_spec", "read_record"]
+__all__ = ["AcceptedTerms", "BatchRecord", "new_record_spec", "read_record"]
+
+
+@attrs.frozen
+class AcceptedTerms:
+    """What a trainer is promised with the acceptance of its lot, whatever the route becomes.
+
+    Attributes
+    ----------
+    due_s : float
+        Seconds from the submission until the results are due.
+    item_lifetime_s : float
+        Seconds from the submission after which items may be abandoned.
+    """
+
+    due_s: float = 10.0
+    item_lifetime_s: float = 60.0
+
+    @classmethod
+    def of_route(cls, route: Route | None) -> "AcceptedTerms":
+        """Return the terms of a route, the defaults if there is none."""
+        return cls() if route is None else cls(route.due_s, route.item_lifetime_s)
 
 
 @attrs.frozen
@@ -74,6 +96,15 @@
         """Expected number of output tokens of all items together."""
         return self.object.spec["expectedTokens"]
 
+    @property
+    def terms(self) -> AcceptedTerms | None:
+        """Terms of the acceptance, None if an earlier build has accepted the lot."""
+        due_s = self.object.spec.get("dueS")
+        lifetime_s = self.object.spec.get("lifetimeS")
+        if due_s is None or lifetime_s is None:
+            return None
+        return AcceptedTerms(due_s, lifetime_s)
+
     def may_have_former_owner(self) -> bool:
         """Return whether another host may have run the lot: it was changed since its creation."""
         stored = self.object
@@ -99,11 +130,17 @@
         return attrs.evolve(self, object=None)
 
 
-def new_record_spec(spec: BatchSpec, document: Any, owner: str, token: str) -> dict[str, Any]:
+def new_record_spec(
+    spec: BatchSpec,
+    document: Any,
+    owner: str,
+    token: str,
+    terms: AcceptedTerms | None = None,
+) -> dict[str, Any]:
     """Return the stored spec of a lot that is accepted now.
 
     The token distinguishes this acceptance from a concurrent one of the same lot by another
-    process.
+    process. Without terms, those of the route at the start of each run apply.
     """
     stored = {
         "host": spec.host,
@@ -116,6 +153,9 @@
         "token": token,
         "submission": document,
     }
+    if terms is not None:
+        stored["dueS"] = terms.due_s
+        stored["lifetimeS"] = terms.item_lifetime_s
     if spec.tenant:
         stored["tenant"] = spec.tenant
     return stored
@@ -135,6 +175,8 @@
     fields.number("expectedTokens")
     fields.integer("submittedMs")
     fields.object("submission")
+    for key in ("dueS", "lifetimeS"):
+        fields.number(key, 0.0)
     status = Fields(object.status or {}, f"{object.name} status")
     return BatchRecord(
         lot=object.name,
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -10,8 +10,9 @@
 from turmericreach.batches.checkpoints import CheckpointStore, CheckpointSwitch
 from turmericreach.batches.items import ItemState, ItemTable
 from turmericreach.batches.log import BatchLog, segment_kind
+from turmericreach.batches.lot_route import RouteLookup
 from turmericreach.batches.model import BatchSpec, ItemResult, Progress
-from turmericreach.batches.records import BatchRecord, read_record
+from turmericreach.batches.records import AcceptedTerms, BatchRecord, read_record
 from turmericreach.batches.run import BatchRun
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.batches.scoring import ScorerCalls
@@ -195,7 +196,7 @@
     # Runs
 
     async def start_run(self, record: BatchRecord) -> None:
-        """Run a lot here once its object and its route are known."""
+        """Run a lot here once its object is known."""
         if record.object is None:
             record = await self.read_with_object(record.lot)
         if record is None:
@@ -251,7 +252,7 @@
                 await asyncio.sleep(START_RETRY_S)
 
     async def make_run(self, record: BatchRecord) -> BatchRun | None:
-        """Create the run of a lot once its route exists; return None if the lot is unreadable."""
+        """Create the run of a lot once it is known where it may run; None if it is unreadable."""
         try:
             spec = decode_submission(
                 record.lot, record.host, record.path, record.document, record.tenant
@@ -259,22 +260,16 @@
         except DecodeError as error:
             log_event(events.STORE_OBJECT_UNREADABLE, kind=LOTS_KIND, problem=str(error))
             return None
-        loop = asyncio.get_running_loop()
         while True:
-            configuration = self.configuration()
-            route = None
-            if configuration is not None:
-                route = configuration.find_route(record.host, record.path)
-            if route is not None:
+            if self.configuration() is not None:
                 break
             await asyncio.sleep(START_RETRY_S)
         items = ItemTable(
             spec,
-            route,
-            submitted_at=loop.time() - record.age_s(),
-            tokens_per_event=configuration.tokens_per_event(route),
+            RouteLookup(spec, self.configuration),
+            submitted_at=asyncio.get_running_loop().time() - record.age_s(),
+            terms=record.terms or self.present_terms(record.host, record.path),
             carried=self.carried_items(spec),
-            priority=configuration.lot_priority(route, spec.tenant),
         )
         return BatchRun(
             items=items,
@@ -289,6 +284,12 @@
             tenants_apply=self.tenants_apply,
         )
 
+    def present_terms(self, host: str, path: str) -> AcceptedTerms:
+        """Return the terms on which a lot would be accepted now."""
+        configuration = self.configuration()
+        route = None if configuration is None else configuration.find_route(host, path)
+        return AcceptedTerms.of_route(route)
+
     def checkpoints_of(self, lot: str) -> CheckpointStore | None:
         """Return the store of the copies of a lot's texts, None if none are kept."""
         if self.checkpoint_switch is None:
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -31,6 +31,8 @@
 LOAD_RETRY_S = 0.2
 # No text is saved of a lot that was submitted more recently.
 CHECKPOINT_MIN_AGE_S = 1.5
+# A route that is missing for this long counts as removed.
+ROUTE_REMOVED_AFTER_S = 5.0
 # Pause after an unexpected error, which may come again at once.
 UNEXPECTED_PAUSE_S = 0.5
 
@@ -44,8 +46,6 @@
         Items of the lot and their states.
     spec : BatchSpec
         The lot as submitted.
-    route : Route
-        Route of the lot.
     log : BatchLog
         Log of the durable results.
     directory : TargetDirectory
@@ -81,7 +81,6 @@
     ):
         self.items = items
         self.spec = items.spec
-        self.route = items.route
         self.log = log
         self.directory = directory
         self.pool = pool
@@ -143,7 +142,7 @@
         """Resume from earlier text if the lot's constraints on versions allow it."""
         if progress is None or state.item.id in self.log.listed:
             return
-        if not progress.allowed_by(self.spec.min_version, self.route.single_version):
+        if not progress.allowed_by(self.spec.min_version, self.items.single_version()):
             return
         scorer = state.item.scorer
         if scorer is None or progress.scorer != scorer.id:
@@ -185,9 +184,12 @@
     # Placement
 
     def waiting_items(self, now: float) -> list[WaitingItem]:
-        """Return the items that may start now; abandon those whose lifetime is over."""
+        """Return the items that may start now; abandon those that cannot be served any more."""
         if self.stopped or not self.loaded:
             return []
+        if self.items.route() is None:
+            self.abandon_unrouted(now)
+            return []
         surplus = self.items.surplus_groups()
         found = []
         for state in self.items.states.values():
@@ -198,6 +200,18 @@
             found.append(self.items.waiting_item(state, now, surplus))
         return found
 
+    def abandon_unrouted(self, now: float) -> None:
+        """Abandon the waiting items of a lot whose route was removed, unless it may be back soon.
+
+        Configurations may follow each other within seconds and restore a route.
+        """
+        removed = self.items.routes.missing_s(now) > ROUTE_REMOVED_AFTER_S
+        for state in self.items.states.values():
+            if state.phase is not ItemPhase.WAITING:
+                continue
+            if not self.abandon_if_expired(state, now) and removed:
+                self.abandon(state, "the route of the lot was removed")
+
     def move_item(self, item: RunningItem, target: Target) -> None:
         """Move an item to another engine, where it resumes after its last event."""
         state = self.items.states[item.item]
@@ -248,7 +262,7 @@
             host=self.spec.host,
             model=self.spec.model,
             min_version=self.spec.min_version,
-            single_version=self.route.single_version,
+            single_version=self.items.single_version(),
             remaining_s=self.items.remaining_s(started_at),
             tenant=self.sent_tenant(),
         )
@@ -321,7 +335,7 @@
         elif outcome is ItemOutcome.FAILED:
             state.failures += 1
             state.not_before = now + RETRY_PAUSE_S
-            if state.failures >= self.route.max_attempts:
+            if state.failures >= self.items.max_attempts():
                 self.abandon(state, f"{state.failures} runs failed")
         else:
             state.not_before = now + RETRY_PAUSE_S
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from turmericreach.batches.item_permits import ItemPermits
 from turmericreach.batches.run import BatchRun
 from turmericreach.batches.wait_reports import WaitReports
@@ -113,9 +115,14 @@
         now = asyncio.get_running_loop().time()
         self.wait_reports.begin_planning(now)
         services: dict[str, list[BatchRun]] = {}
-        for run in self.runs.values():
-            services.setdefault(run.route.services[0].service, []).append(run)
         active = False
+        for run in self.runs.values():
+            found = run.items.route()
+            if found is None:
+                run.waiting_items(now)
+                active = run.is_active() or active
+                continue
+            services.setdefault(found.route.services[0].service, []).append(run)
         for service, runs in services.items():
             active = self.dispatch_service(service, runs, now) or active
         return active
@@ -225,13 +232,23 @@
         An engine that the coordinator has assigned to another model is left out.
         """
         models = {item.model for item in running}
+        used = {item.engine for item in running}
         candidates = {
             target_id: target
             for target_id, target in targets.items()
-            if self.division.get(target_id) in {None, *models}
-            or any(item.engine == target_id for item in running)
+            if self.division.get(target_id) in {None, *models} or target_id in used
+        }
+        found = self.engines(candidates, now)
+        # An item may run at an engine that drains or that its route has left. It can move away, and
+        # nothing moves there.
+        left = {
+            target_id: self.directory.targets[target_id]
+            for target_id in used - targets.keys()
+            if target_id in self.directory.targets
         }
-        return self.engines(candidates, now)
+        for state in self.engines(left, now):
+            found.append(attrs.evolve(state, slots=0))
+        return found
 
 
 def engine_state(
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -114,7 +114,7 @@
                 await asyncio.sleep(2 * RETRY_PAUSE_S)
                 continue
             async with self.place(target, urgency) as place:
-                target = await self.ready_target(route, target, avoided)
+                target = await self.ready_target(route, target, avoided, scorer)
                 if target is not None:
                     attempt += 1
                     if attempt == 1 and self.stage is not None:
@@ -147,14 +147,19 @@
             return contextlib.nullcontext(Place())
         return self.stage.place(target.record.service, urgency)
 
-    async def ready_target(self, route: Route, target: Target, avoided: set[str]) -> Target | None:
+    async def ready_target(
+        self, route: Route, target: Target, avoided: set[str], scorer: Scorer
+    ) -> Target | None:
         """Return the target for an attempt that may begin now, None if there is none.
 
-        After the wait for the stage another target may be better. One whose slots are all occupied
-        by requests of this process is not used.
+        After the wait for the stage another target may be better, or the route may have moved to
+        another service. A target whose slots are all occupied by requests of this process is not
+        used.
         """
         if self.stage is not None:
             service, now = target.record.service, asyncio.get_running_loop().time()
+            if not self.reaches(scorer, service):
+                return None
             full = self.stage.full_targets(service)
             target = self.best_target(service, now, avoided | full)
             if target is None:
@@ -214,6 +219,12 @@
         admitted = self.directory.targets.get(permit.target)
         return admitted if admitted is not None and self.directory.accepts(admitted) else None
 
+    def reaches(self, scorer: Scorer, service: str) -> bool:
+        """Return whether the present route of a scorer leads to a service."""
+        configuration = self.configuration()
+        route = configuration.find_route(scorer.host, scorer.path)
+        return route is not None and any(part.service == service for part in route.services)
+
     def select(self, scorer: Scorer, now: float, avoided: set[str]):
         """Return the route of a scorer and the selected target, each None if there is none."""
         configuration = self.configuration()
