Abandon items without a scorer at the end of their lifetime

An item whose text was whole and whose scorer had lost its route or all of its targets was never listed: ScorerCalls.score looks a target up again without end, and only items that wait for an engine had their lifetime checked. The new test timed out before, without any call to a scorer.

--- a/tests/node/test_moved_routes.py
+++ b/tests/node/test_moved_routes.py
@@ -1,5 +1,7 @@
 """Lots whose route changes after their acceptance."""
 
+import asyncio
+
 import pytest
 
 from tests.builders.fleet_world import MODEL, configuration, eventually, item, route, submission
@@ -150,3 +152,16 @@
     await moved.read_all(gateway, "lot1", 16)
     assert sum(len(scorer.arrivals) for scorer in scorers) <= begun
     assert moved.targets["q1"].runs
+
+
+async def test_item_whose_scorer_has_no_route_is_abandoned_at_the_end_of_its_lifetime(moved):
+    """Guards against an item that is never listed, since its scorer was removed."""
+    document = routed(2, "engines", queueTtlS=3)
+    del document["routes"][0]
+    moved.store.put("config", "main", document)
+    gateway = await moved.add_gateway("g1")
+    began = asyncio.get_running_loop().time()
+    assert await moved.submit(gateway, "lot1", submission([item("i0")])) == 202
+    [result] = await moved.read_all(gateway, "lot1", 1, 6.0)
+    assert result["state"] == "abandoned"
+    assert asyncio.get_running_loop().time() - began >= 3.0
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -360,6 +360,7 @@
             state.item.id,
             state.item.scorer,
             lambda: self.items.score_urgency(state),
+            lambda: self.items.remaining_s(self.loop.time()),
         )
         if not result.stamp:
             self.abandon(state, "scorer failed")
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -91,7 +91,12 @@
         self.random = random.Random()
 
     async def score(
-        self, lot: str, item: str, scorer: Scorer, urgency: Urgency = tuple
+        self,
+        lot: str,
+        item: str,
+        scorer: Scorer,
+        urgency: Urgency = tuple,
+        remaining_s: Callable[[], float] = lambda: float("inf"),
     ) -> ScoreResult:
         """Request the score of an item whose text is complete.
 
@@ -102,6 +107,8 @@
         ----------
         urgency : callable
             Returns a sort key of the calls that wait for their service, the most urgent first.
+        remaining_s : callable
+            Returns the seconds until an item for which there is no target is given up.
         """
         loop = asyncio.get_running_loop()
         failures = 0
@@ -110,6 +117,8 @@
         while True:
             route, target = self.select(scorer, loop.time(), avoided)
             if target is None:
+                if remaining_s() <= 0:
+                    return ScoreResult("")
                 avoided.clear()
                 await asyncio.sleep(2 * RETRY_PAUSE_S)
                 continue
