Send the items of a split route to all of its services

All items of a lot on a split route went to its first service, whatever the weights, and waited beside idle engines of the others if that one had no target. Callers' requests were refused if the drawn service had no target.

The id of an item determines its service by the weights; after 1 s, or if that service has no engine for it, any other one takes it. Services that split routes connect are planned together.

--- a/turmericreach/admission/__init__.py
+++ b/turmericreach/admission/__init__.py
@@ -1,6 +1,13 @@
 """Decisions on what is rejected when there is too little capacity, without input or output."""
 
-from turmericreach.admission.lots import LotBacklog, LotDecision, LotWork, admit_lot, lot_work
+from turmericreach.admission.lots import (
+    LotBacklog,
+    LotDecision,
+    LotWork,
+    admit_lot,
+    joined_backlog,
+    lot_work,
+)
 from turmericreach.admission.pressure import NO_LIMITS, ProcessLimits, ProcessLoad
 from turmericreach.admission.requests import RequestShedder, RequestWork, ShedDecision
 from turmericreach.admission.shutdown import (
@@ -27,6 +34,7 @@
     "ShutdownWork",
     "TenantFairness",
     "admit_lot",
+    "joined_backlog",
     "lot_work",
     "needed_s",
 ]
--- a/turmericreach/admission/lots.py
+++ b/turmericreach/admission/lots.py
@@ -1,10 +1,10 @@
 """Admission of lots at their submission."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
-__all__ = ["LotBacklog", "LotDecision", "LotWork", "admit_lot", "lot_work"]
+__all__ = ["LotBacklog", "LotDecision", "LotWork", "admit_lot", "joined_backlog", "lot_work"]
 
 # What an owner said about its backlog is not used after this time, since a lot may have ended.
 MAX_BACKLOG_AGE_S = 1.0
@@ -95,6 +95,32 @@
     group_s: float = 0.0
 
 
+def joined_backlog(backlogs: Sequence[LotBacklog | None]) -> LotBacklog | None:
+    """Return the backlog of a model over all services of its route, None if one is not known.
+
+    Each of them counts all items of the model, and the engines of its own service.
+    """
+    known = [backlog for backlog in backlogs if backlog is not None]
+    if not known or len(known) < len(backlogs):
+        return None
+    slots = sum(backlog.slots for backlog in known)
+    if len(known) == 1 or not slots:
+        return known[0]
+    speeds = sum(backlog.slots / backlog.event_s for backlog in known if backlog.event_s > 0)
+    event_s = slots / speeds if speeds else 0.0
+    running_events = (
+        max(backlog.running_s / backlog.event_s for backlog in known if backlog.event_s > 0)
+        if speeds
+        else 0.0
+    )
+    return attrs.evolve(
+        known[0],
+        slots=slots,
+        event_s=event_s,
+        running_s=running_events * event_s,
+    )
+
+
 def lot_work(
     model: str, events_by_group: Iterable[tuple[str, float]], tokens_per_event: float
 ) -> LotWork:
--- a/turmericreach/admission/requests.py
+++ b/turmericreach/admission/requests.py
@@ -40,7 +40,7 @@
         Seconds until the response is of no use to the caller.
     usual_s : float
         Usual response time of the service.
-    in_progress : int
+    in_progress : float
         Requests of the service in progress at this process.
     rate_per_s : float
         Requests a second that the service completes for this process, 0 if unknown.
@@ -51,7 +51,7 @@
     priority: int
     remaining_s: float
     usual_s: float
-    in_progress: int
+    in_progress: float
     rate_per_s: float
     tenant: str = ""
 
--- a/turmericreach/batches/items.py
+++ b/turmericreach/batches/items.py
@@ -193,12 +193,14 @@
         """Return the number of failed runs after which an item is abandoned."""
         return self.routes.latest().route.max_attempts
 
+    @property
     def priority(self) -> int:
-        """Return the priority of the items; 0 is the highest."""
+        """Priority of the items; 0 is the highest."""
         return self.routes.latest().priority
 
+    @property
     def tokens_per_event(self) -> float:
-        """Return the number of tokens in one event of the route's engines."""
+        """Number of tokens in one event of the route's engines."""
         return self.routes.latest().tokens_per_event
 
     def has_active(self) -> bool:
@@ -227,7 +229,11 @@
         return frozenset(ordered[self.spec.target_groups :]) - carried
 
     def waiting_item(
-        self, state: ItemState, now: float, surplus: frozenset[str] = frozenset()
+        self,
+        state: ItemState,
+        now: float,
+        surplus: frozenset[str] = frozenset(),
+        services: frozenset[str] | None = None,
     ) -> WaitingItem:
         """Return the description of a waiting item for the placement policy.
 
@@ -235,6 +241,8 @@
         ----------
         surplus : frozenset of str
             Groups that the trainer is expected not to need.
+        services : frozenset of str, optional
+            Services that may run the item, by default any.
         """
         item = state.item
         excluded_s = {}
@@ -251,16 +259,17 @@
             remaining_events=self.remaining_events(state),
             group_events=self.group_events(item.group),
             due_in_s=self.due_in_s(now),
-            priority=self.priority(),
+            priority=self.priority,
             excluded_s=excluded_s,
             software=state.progress.software,
             generated_events=len(state.progress.events),
             surplus=item.group in surplus,
+            services=services,
         )
 
     def remaining_events(self, state: ItemState) -> float:
         """Return the expected number of events that remain to be generated."""
-        expected = state.item.expected_tokens / self.tokens_per_event()
+        expected = state.item.expected_tokens / self.tokens_per_event
         return expected_remaining_events(expected, len(state.run_text().events))
 
     def group_events(self, group: str) -> float:
@@ -273,8 +282,10 @@
                 total += self.remaining_events(state)
         return total
 
-    def running_items(self, now: float) -> list[RunningItem]:
-        """Return the running items that may be moved to another engine."""
+    def running_items(
+        self, now: float, services: frozenset[str] | None = None
+    ) -> list[RunningItem]:
+        """Return the running items that may be moved to another engine of some services."""
         found = []
         for state in self.states.values():
             if state.phase is not ItemPhase.RUNNING or state.move_to is not None:
@@ -297,6 +308,7 @@
                     software=text.software,
                     generated_events=len(text.events),
                     due_in_s=self.due_in_s(now),
+                    services=services,
                 )
             )
         return found
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -183,8 +183,16 @@
 
     # Placement
 
-    def waiting_items(self, now: float) -> list[WaitingItem]:
-        """Return the items that may start now; abandon those that cannot be served any more."""
+    def waiting_items(
+        self, now: float, services_of: Callable[[ItemState], frozenset[str] | None] | None = None
+    ) -> list[WaitingItem]:
+        """Return the items that may start now; abandon those that cannot be served any more.
+
+        Parameters
+        ----------
+        services_of : callable, optional
+            Returns the services that may run an item, None for any.
+        """
         if self.stopped or not self.loaded:
             return []
         if self.items.route() is None:
@@ -197,7 +205,8 @@
                 continue
             if self.abandon_if_expired(state, now):
                 continue
-            found.append(self.items.waiting_item(state, now, surplus))
+            services = None if services_of is None else services_of(state)
+            found.append(self.items.waiting_item(state, now, surplus, services))
         return found
 
     def abandon_unrouted(self, now: float) -> None:
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -6,7 +6,14 @@
 import attrs
 
 from turmericreach.batches.item_permits import ItemPermits
+from turmericreach.batches.items import ItemState
 from turmericreach.batches.run import BatchRun
+from turmericreach.batches.split_routes import (
+    ServiceGroup,
+    allowed_services,
+    group_by_service,
+    serving_services,
+)
 from turmericreach.batches.wait_reports import WaitReports
 from turmericreach.placement import (
     EngineState,
@@ -114,23 +121,24 @@
         """Start and move items as planned; return whether any item waits or runs."""
         now = asyncio.get_running_loop().time()
         self.wait_reports.begin_planning(now)
-        services: dict[str, list[BatchRun]] = {}
         active = False
         for run in self.runs.values():
-            found = run.items.route()
-            if found is None:
+            if run.items.route() is None:
                 run.waiting_items(now)
                 active = run.is_active() or active
-                continue
-            services.setdefault(found.route.services[0].service, []).append(run)
-        for service, runs in services.items():
-            active = self.dispatch_service(service, runs, now) or active
+        for group in group_by_service(self.runs.values()):
+            active = self.dispatch_group(group, now) or active
         return active
 
-    def dispatch_service(self, service: str, runs: list[BatchRun], now: float) -> bool:
-        """Start and move items of a service's lots; return whether any item waits or runs."""
-        targets = {target.id: target for target in self.directory.accepting_targets(service)}
-        waiting = [item for run in runs for item in run.waiting_items(now)]
+    def dispatch_group(self, group: ServiceGroup, now: float) -> bool:
+        """Start and move items of a group of lots; return whether any item waits or runs."""
+        runs = group.runs
+        targets = {
+            target.id: target
+            for service in sorted(group.services)
+            for target in self.directory.accepting_targets(service)
+        }
+        waiting = [item for run in runs for item in self.waiting_items(run, group, targets, now)]
         if waiting:
             states = self.engines(targets, now)
             planned = self.policy.starts(waiting, states, self.division)
@@ -142,14 +150,36 @@
             if len(starts) < len(waiting):
                 priority = min(item.priority for item in waiting)
                 usable = restrict_versions(waiting, states, self.division)
-                self.item_permits.request(service, waiting, usable, priority)
+                self.item_permits.request(group.name, waiting, usable, priority)
                 self.report_waits(waiting, states, planned, now)
-        running = [item for run in runs for item in run.items.running_items(now)]
+        running = []
+        for run in runs:
+            running += run.items.running_items(now, self.services_of(run, group))
         if running:
             for move in self.policy.moves(running, self.candidate_engines(targets, running, now)):
                 self.runs[move.item.lot].move_item(move.item, targets[move.engine])
         return any(run.is_active() for run in runs)
 
+    def services_of(self, run: BatchRun, group: ServiceGroup) -> frozenset[str] | None:
+        """Return the services to which a lot's route leads, None if these are all of its group."""
+        services = frozenset(run.items.route().route.active_services())
+        return None if services == group.services else services
+
+    def waiting_items(
+        self, run: BatchRun, group: ServiceGroup, targets: dict[str, Target], now: float
+    ) -> list[WaitingItem]:
+        """Return the items of a lot that may start now, with the services that may run each."""
+        if len(group.services) == 1:
+            return run.waiting_items(now)
+        route = run.items.route().route
+        reached = frozenset(route.active_services())
+        serving = reached & serving_services(run, targets.values(), now)
+
+        def allowed(state: ItemState) -> frozenset[str]:
+            return allowed_services(route, state.item.id, now - state.waiting_since, serving)
+
+        return run.waiting_items(now, allowed)
+
     def report_waits(
         self,
         waiting: list[WaitingItem],
@@ -277,4 +307,5 @@
         first_event_timeout_s=first_event_timeout_s(target),
         groups=frozenset(target.groups),
         software=target.record.software,
+        service=target.record.service,
     )
--- a/turmericreach/batches/scoring.py
+++ b/turmericreach/batches/scoring.py
@@ -242,7 +242,11 @@
         route = configuration.find_route(scorer.host, scorer.path)
         if route is None:
             return None, None
-        return route, self.best_target(route.choose_service(self.random), now, avoided)
+        for service in route.service_order(self.random):
+            target = self.best_target(service, now, avoided)
+            if target is not None:
+                return route, target
+        return route, None
 
     def best_target(self, service: str, now: float, avoided: set[str]) -> Target | None:
         """Return the target of a service for the next attempt, None if there is none."""
--- a/turmericreach/node/lot_admission.py
+++ b/turmericreach/node/lot_admission.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-from turmericreach.admission import LotBacklog, LotDecision, LotWork, admit_lot, lot_work
+from turmericreach.admission import (
+    LotBacklog,
+    LotDecision,
+    LotWork,
+    admit_lot,
+    joined_backlog,
+    lot_work,
+)
 from turmericreach.batches.items import ItemPhase
 from turmericreach.batches.model import BatchSpec
 from turmericreach.batches.scheduler import ItemScheduler
@@ -60,8 +67,11 @@
             return LotDecision(True, "no route known")
         loop = asyncio.get_running_loop()
         began = loop.time()
-        service = route.services[0].service
-        backlog = await self.backlog_at(owner, spec.model, service)
+        services = route.active_services()
+        backlogs = await asyncio.gather(
+            *(self.backlog_at(owner, spec.model, service) for service in services)
+        )
+        backlog = joined_backlog(backlogs)
         work = lot_work(
             spec.model,
             ((item.group, item.expected_tokens) for item in spec.items),
--- a/turmericreach/node/request_gate.py
+++ b/turmericreach/node/request_gate.py
@@ -52,14 +52,14 @@
         Requests a second that its targets complete for this process.
     usual_s : float
         Usual response time in seconds.
-    in_progress : int
-        Requests of callers in progress here.
+    in_progress : float
+        Requests of callers in progress here; one of a split route counts by its shares.
     """
 
     at: float = float("-inf")
     rate_per_s: float = 0.0
     usual_s: float = DEFAULT_LATENCY_S
-    in_progress: int = 0
+    in_progress: float = 0.0
 
 
 class RequestGate:
@@ -110,7 +110,7 @@
     def decide(self, exchange: Exchange) -> ShedDecision:
         """Return whether a request is admitted, and log a rejection with its inputs."""
         now = asyncio.get_running_loop().time()
-        view = self.service_view(exchange, now)
+        view = self.route_view(exchange, now)
         is_stream = exchange.route.kind is RouteKind.STREAMING
         work = RequestWork(
             priority=exchange.priority,
@@ -136,7 +136,7 @@
             value=round(decision.value, 3),
             wait_s=round(decision.wait_s, 3),
             time_left_s=round(work.remaining_s, 3),
-            in_progress=work.in_progress,
+            in_progress=round(work.in_progress, 2),
             rate_per_s=round(work.rate_per_s, 2),
             lag_s=round(self.load.lag_s, 3),
             descriptors=self.load.descriptors,
@@ -148,17 +148,34 @@
 
     @contextlib.contextmanager
     def track(self, exchange: Exchange) -> Iterator[None]:
-        """Count a request as in progress while the context lasts."""
-        view = self.services.setdefault(exchange.route.services[0].service, ServiceView())
-        view.in_progress += 1
+        """Count a request as in progress while the context lasts.
+
+        On a split route each service counts its share of the request.
+        """
+        shares = exchange.route.shares()
+        for service, share in shares.items():
+            self.services.setdefault(service, ServiceView()).in_progress += share
         try:
             yield
         finally:
-            view.in_progress -= 1
+            for service, share in shares.items():
+                self.services[service].in_progress -= share
+
+    def route_view(self, exchange: Exchange, now: float) -> ServiceView:
+        """Return what is known of all services of a request's route together."""
+        shares = exchange.route.shares()
+        views = {service: self.service_view(service, now) for service in shares}
+        if len(views) == 1:
+            return next(iter(views.values()))
+        return ServiceView(
+            at=min(view.at for view in views.values()),
+            rate_per_s=sum(view.rate_per_s for view in views.values()),
+            usual_s=sum(share * views[service].usual_s for service, share in shares.items()),
+            in_progress=sum(view.in_progress for view in views.values()),
+        )
 
-    def service_view(self, exchange: Exchange, now: float) -> ServiceView:
-        """Return what is known of the service of a request."""
-        service = exchange.route.services[0].service
+    def service_view(self, service: str, now: float) -> ServiceView:
+        """Return what is known of a service."""
         view = self.services.setdefault(service, ServiceView())
         if now - view.at < SERVICE_VIEW_S:
             return view
--- a/turmericreach/node/target_attempts.py
+++ b/turmericreach/node/target_attempts.py
@@ -129,15 +129,13 @@
 
     def busy_retry_s(self, exchange: Exchange) -> float:
         """Return the seconds after which a request that no target accepted may come again."""
-        service = exchange.route.services[0].service
+        services = exchange.route.active_services()
         now = asyncio.get_running_loop().time()
+        targets = [t for service in services for t in self.directory.accepting_targets(service)]
         rate_per_s = service_rate_per_s(
-            self.directory.accepting_targets(service),
-            now,
-            self.directory.limits.per_s,
-            self.permits.processes(),
+            targets, now, self.directory.limits.per_s, self.permits.processes()
         )
-        return self.returns.busy_retry_s(service, rate_per_s, now)
+        return self.returns.busy_retry_s("+".join(services), rate_per_s, now)
 
     def select_target(self, exchange: Exchange, unlimited: bool = False) -> Target | None:
         """Select a target of the route to which the request was not sent yet.
@@ -156,20 +154,23 @@
         excluded = exchange.tried_targets | self.permits.denied_targets(
             max_permit_delay_s(exchange), now
         )
-        candidates = self.candidates(exchange)
-        if unlimited:
-            candidates = [target for target in candidates if not self.is_limited(target)]
-        return self.policy.choose(candidates, now, self.data_centre, excluded)
+        for service in exchange.route.service_order(self.random):
+            candidates = self.candidates(exchange, service)
+            if unlimited:
+                candidates = [target for target in candidates if not self.is_limited(target)]
+            target = self.policy.choose(candidates, now, self.data_centre, excluded)
+            if target is not None:
+                return target
+        return None
 
-    def candidates(self, exchange: Exchange) -> list[Target]:
-        """Return the targets that may serve a request, tried or not.
+    def candidates(self, exchange: Exchange, service: str) -> list[Target]:
+        """Return the targets of a service that may serve a request, tried or not.
 
         A stream that has begun is served only by targets with the software that began it. A new one
         that may be resumed goes to a target whose software all processes know, if there is one.
         """
         if exchange.software:
             return self.targets_with_software(exchange)
-        service = exchange.route.choose_service(self.random)
         found = self.directory.accepting_targets(service)
         if exchange.route.kind is not RouteKind.STREAMING or not exchange.route.resumable:
             return found
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -54,6 +54,8 @@
         generates these events again.
     surplus : bool
         Whether the trainer is expected to get enough groups without that of the item.
+    services : frozenset of str or None
+        Services that may run the item, None for any.
     """
 
     lot: str
@@ -70,6 +72,15 @@
     software: str = ""
     generated_events: int = 0
     surplus: bool = False
+    services: frozenset[str] | None = None
+
+
+class ItemOfModel(Protocol):
+    """An item that engines of some services may run with new enough weights of a model."""
+
+    model: str
+    min_version: int
+    services: frozenset[str] | None
 
 
 class ItemWithText(Protocol):
@@ -110,6 +121,8 @@
         Seconds between two starts at the limit.
     software : str
         Software of the engine.
+    service : str
+        Service of the engine.
     """
 
     id: str
@@ -124,6 +137,7 @@
     permits: int | None = None
     permit_interval_s: float = 0.0
     software: str = ""
+    service: str = ""
 
     def startable_slots(self) -> int:
         """Return the number of items that may start now in its free slots."""
@@ -131,11 +145,13 @@
         return free if self.permits is None else min(free, self.permits)
 
     def can_run(self, item: "WaitingItem") -> bool:
-        """Return whether its weights are new enough for an item that it has not rejected."""
-        return self.is_new_enough(item) and self.id not in item.excluded_s
+        """Return whether it suits an item that it has not rejected."""
+        return self.suits(item) and self.id not in item.excluded_s
 
-    def is_new_enough(self, item: "WaitingItem") -> bool:
-        """Return whether its weights are new enough for an item."""
+    def suits(self, item: "ItemOfModel") -> bool:
+        """Return whether it is of a service of an item and its weights are new enough."""
+        if item.services is not None and self.service not in item.services:
+            return False
         return self.versions.get(item.model, 0) >= item.min_version
 
     def delay_s(self, item: "WaitingItem") -> float | None:
@@ -193,7 +209,7 @@
 
     def can_place(self, item: WaitingItem) -> bool:
         """Return whether an item can be placed on this engine."""
-        if not self.free_at or not self.state.is_new_enough(item):
+        if not self.free_at or not self.state.suits(item):
             return False
         return self.state.delay_s(item) is not None
 
@@ -295,21 +311,16 @@
 ) -> list[EngineState]:
     """Return the engines, each without the versions of models that it must not be used for.
 
-    An engine assigned to one model is closed to another model if that model has an engine of its
-    own that is usable.
+    An engine assigned to one model is closed to another model if that model has engines of its own
+    that are usable for all of its items.
     """
-    min_versions = {item.model: item.min_version for item in items}
-    for item in items:
-        min_versions[item.model] = min(min_versions[item.model], item.min_version)
-    served = set()
-    for state in states:
-        model = division.get(state.id)
-        if (
-            model in min_versions
-            and state.versions.get(model, 0) >= min_versions[model]
-            and not state.suspected
-        ):
-            served.add(model)
+    needs = {(item.model, item.min_version, item.services): item for item in items}
+    unserved = set()
+    for (model, _, _), item in needs.items():
+        own = (state for state in states if division.get(state.id) == model)
+        if not any(state.suits(item) and not state.suspected for state in own):
+            unserved.add(model)
+    served = {model for model, _, _ in needs} - unserved
     restricted = []
     for state in states:
         owner = division.get(state.id)
@@ -332,15 +343,14 @@
     if len(states) <= MAX_ENGINES_COMPARED:
         return states
     groups = {item.group for item in items}
-    wanted: dict[tuple[str, int], int] = {}
+    alike: dict[tuple, list[WaitingItem]] = {}
     for item in items:
-        key = (item.model, item.min_version)
-        wanted[key] = wanted.get(key, 0) + 1
+        alike.setdefault((item.model, item.min_version, item.services), []).append(item)
     ordered = sorted(states, key=lambda state: suitability(state, groups))
     found: dict[str, EngineState] = {}
-    for (model, min_version), count in wanted.items():
-        usable = [state for state in ordered if state.versions.get(model, 0) >= min_version]
-        for state in usable[: max(count, MAX_ENGINES_COMPARED)]:
+    for same in alike.values():
+        usable = [state for state in ordered if state.suits(same[0])]
+        for state in usable[: max(len(same), MAX_ENGINES_COMPARED)]:
             found[state.id] = state
     return list(found.values())
 
--- a/turmericreach/placement/moves.py
+++ b/turmericreach/placement/moves.py
@@ -53,6 +53,8 @@
         Number of events of that text, which other software generates again.
     due_in_s : float
         Seconds until the lot is due; negative once that time has passed.
+    services : frozenset of str or None
+        Services that may run the item, None for any.
     """
 
     lot: str
@@ -66,6 +68,7 @@
     software: str = ""
     generated_events: int = 0
     due_in_s: float = float("inf")
+    services: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -198,7 +201,7 @@
         state = states[engine_id]
         if slots <= 0 or engine_id == item.engine:
             continue
-        if state.versions.get(item.model, 0) < item.min_version:
+        if not state.suits(item):
             continue
         if event_s(state) >= max_event_s:
             continue
--- a/turmericreach/placement/wait_reasons.py
+++ b/turmericreach/placement/wait_reasons.py
@@ -71,14 +71,17 @@
     """
     if not engines:
         return WaitReason.NO_SERVICE
-    free = [engine for engine in engines if len(engine.busy_s) < engine.slots]
+    reached = [
+        engine for engine in engines if item.services is None or engine.service in item.services
+    ]
+    free = [engine for engine in reached if len(engine.busy_s) < engine.slots]
     if not free:
         return None
     if held_back:
         return WaitReason.SCORERS
     if not any(engine.versions.get(item.model) for engine in free):
         return WaitReason.NO_ENGINE
-    new_enough = [engine for engine in free if engine.is_new_enough(item)]
+    new_enough = [engine for engine in free if engine.suits(item)]
     if not new_enough:
         return WaitReason.OLD_VERSION
     accepting = [engine for engine in new_enough if engine.id not in item.excluded_s]
@@ -87,7 +90,7 @@
     loaded = [engine for engine in accepting if engine.ready_in_s <= 0]
     if not loaded:
         return WaitReason.LOADING
-    open_ids = {engine.id for engine in divided if engine.is_new_enough(item)}
+    open_ids = {engine.id for engine in divided if engine.suits(item)}
     open_engines = [engine for engine in loaded if engine.id in open_ids]
     if not open_engines:
         return WaitReason.DIVISION
--- a/turmericreach/services/configuration.py
+++ b/turmericreach/services/configuration.py
@@ -92,14 +92,46 @@
     item_lifetime_s: float = 60.0
     public: bool = False
 
+    def active_services(self) -> list[str]:
+        """Return the services with a positive weight, the first one if there is none."""
+        active = {part.service: None for part in self.services if part.weight > 0}
+        return list(active) or [part.service for part in self.services[:1]]
+
+    def shares(self) -> dict[str, float]:
+        """Return the share of the requests that each active service receives, 1 in total."""
+        active = self.active_services()
+        if len(active) == 1:
+            return {active[0]: 1.0}
+        weights: dict[str, float] = {}
+        for part in self.services:
+            if part.weight > 0:
+                weights[part.service] = weights.get(part.service, 0.0) + part.weight
+        total = sum(weights.values())
+        return {service: weight / total for service, weight in weights.items()}
+
+    def service_at(self, position: float) -> str:
+        """Return the service at a position in the split, from 0 up to 1.
+
+        Each service takes a part of that range in proportion to its weight.
+        """
+        shares = self.shares()
+        for service, share in shares.items():
+            position -= share
+            if position < 0:
+                return service
+        return self.active_services()[-1]
+
     def choose_service(self, random_source: random.Random) -> str:
         """Return the name of a service, chosen at random by the weights of the split."""
-        if len(self.services) == 1:
-            return self.services[0].service
-        weights = [max(part.weight, 0.0) for part in self.services]
-        if sum(weights) <= 0:
-            return self.services[0].service
-        return random_source.choices(self.services, weights)[0].service
+        return self.service_at(random_source.random())
+
+    def service_order(self, random_source: random.Random) -> list[str]:
+        """Return the active services, one chosen by the weights first."""
+        active = self.active_services()
+        if len(active) == 1:
+            return active
+        chosen = self.choose_service(random_source)
+        return [chosen, *(service for service in active if service != chosen)]
 
 
 @attrs.frozen
@@ -186,10 +218,11 @@
 
     def tokens_per_event(self, route: Route) -> float:
         """Return the number of tokens per event on a route, 1 for services without engines."""
-        service = self.services.get(route.services[0].service)
-        if service is None or service.engine is None:
-            return 1.0
-        return max(service.engine.tokens_per_event, 1.0)
+        for name in route.active_services():
+            service = self.services.get(name)
+            if service is not None and service.engine is not None:
+                return max(service.engine.tokens_per_event, 1.0)
+        return 1.0
 
     def engine_models(self) -> list[str]:
         """Return the models of all engines, sorted."""
