Give each model with work an engine, or a turn at one

Cause: each configured model had a demand for ever, and with fewer engines than models the time of each assignment was infinite, so that the former one was kept (inf <= 1.3 * inf). Evidence: the items log "version too old", and the coordinator sends no order for their model after the loss.

Processes report with their pings which models have items that wait or run. Models with work come first, and models at rest for 10 s have no demand. assign_models finds an engine for each model that can have one; models that are more than the engines take turns. A new term of the duty continues the stored assignment.

--- a/benchmarks/policies/replay.py
+++ b/benchmarks/policies/replay.py
@@ -22,7 +22,8 @@
 from turmericreach.placement import EngineState
 from turmericreach.services import Route, RouteKind
 from turmericreach.services.configuration import WeightedService
-from turmericreach.versions.planner import EngineView, assign_models
+from turmericreach.versions.assignment import assign_models
+from turmericreach.versions.engine_view import EngineView
 
 __all__ = ["Demand", "PressureReplay", "Trainer", "newest_work", "usual_work"]
 
--- a/tests/versions/test_planner.py
+++ b/tests/versions/test_planner.py
@@ -2,13 +2,9 @@
 
 import attrs
 
-from turmericreach.versions.planner import (
-    EngineView,
-    LoadOrder,
-    assign_models,
-    max_concurrent_loads,
-    plan_orders,
-)
+from turmericreach.versions.assignment import assign_models
+from turmericreach.versions.engine_view import EngineView
+from turmericreach.versions.planner import LoadOrder, max_concurrent_loads, plan_orders
 
 FAST_S, SLOW_S = 0.027, 0.065
 
--- a/tests/versions/test_usual_demand.py
+++ b/tests/versions/test_usual_demand.py
@@ -3,7 +3,8 @@
 import random
 
 from turmericreach.batches.arrivals import next_arrival
-from turmericreach.versions.planner import EngineView, assign_models
+from turmericreach.versions.assignment import assign_models
+from turmericreach.versions.engine_view import EngineView
 
 MODELS = {"long-a": 28.0, "long-b": 28.0, "short": 11.0}
 ENGINES = [EngineView(f"e{number}", {}, slots=6, event_s=0.05) for number in range(18)]
--- a/turmericreach/batches/arrivals.py
+++ b/turmericreach/batches/arrivals.py
@@ -24,22 +24,31 @@
         Number of its items.
     usual_tokens : float
         Moving average of the expected tokens over the lots of the model.
+    host, path : str
+        Host and path of the submission, which select the route.
     """
 
     at: float
     expected_tokens: float
     items: int
     usual_tokens: float = 0.0
+    host: str = ""
+    path: str = ""
 
 
 def next_arrival(
-    former: ModelArrival | None, at: float, expected_tokens: float, items: int
+    former: ModelArrival | None,
+    at: float,
+    expected_tokens: float,
+    items: int,
+    host: str = "",
+    path: str = "",
 ) -> ModelArrival:
     """Return the arrival of a lot that follows another one of its model, None before the first."""
     usual = expected_tokens
     if former is not None:
         usual = former.usual_tokens + NEWEST_LOT_WEIGHT * (expected_tokens - former.usual_tokens)
-    return ModelArrival(at, expected_tokens, items, usual)
+    return ModelArrival(at, expected_tokens, items, usual, host, path)
 
 
 def tokens_per_item(arrivals: Iterable[ModelArrival]) -> float:
--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import attrs
 
@@ -147,7 +147,7 @@
         now = asyncio.get_running_loop().time()
         former = self.arrivals.get(record.model)
         self.arrivals[record.model] = next_arrival(
-            former, now, record.expected_tokens, record.item_count
+            former, now, record.expected_tokens, record.item_count, record.host, record.path
         )
 
     def object_removed(self, object: StoredObject) -> None:
@@ -382,6 +382,16 @@
             self.logs[lot] = log
         return log
 
+    def models_of_absent_owners(self, present: Collection[str]) -> set[str]:
+        """Return the models of the open lots whose owner is not among the present hosts."""
+        found = set()
+        for record in self.records.values():
+            if record.ended or record.object is None or record.owner in present:
+                continue
+            if record.terms is None or record.age_s() < record.terms.item_lifetime_s:
+                found.add(record.model)
+        return found
+
     def owned_records(self) -> list[BatchRecord]:
         """Return the records of the unfinished lots that run here."""
         found = []
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -1,7 +1,7 @@
 """Scheduling of waiting items at engines."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -41,6 +41,9 @@
 LOAD_MAX_AGE_S = 0.5
 # Expected remaining time of another process's request at a target.
 OTHER_REQUEST_S = 0.5
+# An engine is reserved at most for this long, so that it is not idle if the coordinator is lost or
+# the items of its model need it no more.
+RESERVED_S = 4.0
 # Requests of other processes that count for each slot. More of them change no decision.
 MAX_OTHERS_PER_SLOT = 4
 
@@ -60,6 +63,10 @@
         Lots that run here, by id.
     division : dict of str to str
         Model that each engine serves, by engine id, as assigned by the coordinator.
+    reserved : frozenset of str
+        Engines at which only items of their model start, while other models wait for a turn.
+    reserved_until : float
+        Loop time in seconds until which they are.
     oversubscribed : frozenset of str
         Models whose groups are completed one after another, as last logged.
     order_logged_at : float
@@ -81,6 +88,8 @@
         self.item_permits = ItemPermits(directory, permits, self.wake)
         self.runs: dict[str, BatchRun] = {}
         self.division: dict[str, str] = {}
+        self.reserved: frozenset[str] = frozenset()
+        self.reserved_until = 0.0
         self.oversubscribed: frozenset[str] = frozenset()
         self.order_logged_at = float("-inf")
         self.wakeup = asyncio.Event()
@@ -91,6 +100,13 @@
         """Request planning soon, because an item waits or an engine has become free."""
         self.wakeup.set()
 
+    def apply_division(self, engines: Mapping[str, str], reserved: Iterable[str]) -> None:
+        """Apply a new division of the engines, and plan again."""
+        self.division = dict(engines)
+        self.reserved = frozenset(reserved)
+        self.reserved_until = asyncio.get_running_loop().time() + RESERVED_S
+        self.wake()
+
     async def run(self) -> None:
         """Plan at each wakeup, and periodically while items are active, until cancelled."""
         loop = asyncio.get_running_loop()
@@ -236,7 +252,7 @@
                 items=len(items),
                 waiting_events=round(sum(item.remaining_events for item in items), 1),
                 due_in_s=round(max((item.due_in_s for item in items), default=0.0), 2),
-                slots=sum(state.slots for state in states if state.versions.get(model)),
+                slots=sum(state.slots for state in states if state.versions.get(model, 0) > 0),
             )
         self.oversubscribed = oversubscribed
 
@@ -251,6 +267,8 @@
             left = running.get(target.id, [])
             busy_s = [events * (event_s or DEFAULT_EVENT_S) for events in left]
             state = engine_state(target, busy_s, now, event_s)
+            if target.id in self.reserved and now < self.reserved_until:
+                state = attrs.evolve(state, reserved=True)
             found.append(self.item_permits.with_permits(state, now))
         return found
 
--- a/turmericreach/coordination/messages.py
+++ b/turmericreach/coordination/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from turmericreach.batches.model import Progress
+from turmericreach.batches.model_work import ModelWork
 from turmericreach.batches.records import BatchRecord
 from turmericreach.duties.usage import UsageShare
 from turmericreach.metadata import ObjectChange
@@ -54,6 +55,8 @@
         Revision of the tables that the process shares with others.
     observed_revision : int
         Revision of the newest fact in them that the process has observed itself.
+    work : list of ModelWork
+        Work of the lots that the process runs.
     """
 
     host: str
@@ -66,6 +69,7 @@
     order_age_s: float = 1e9
     shared_revision: int = 0
     observed_revision: int = 0
+    work: list[ModelWork] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from turmericreach.batches.model_work import ModelWork, join_work
 from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import CountingStatus, PeerStatus
 from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, OWN_KIND
@@ -90,6 +91,8 @@
         Whether this process is about to stop.
     directory : TargetDirectory or None
         Targets whose latency is reported to other processes.
+    own_work : callable
+        Returns the work of the lots that this process runs.
     pings : set of asyncio.Task
         Pings that are in progress.
     peers : dict of str to Peer
@@ -140,6 +143,7 @@
         self.hub: str | None = None
         self.on_status: Callable[[Peer], Awaitable[None]] | None = None
         self.usage: UsageExchange | None = None
+        self.own_work: Callable[[], list[ModelWork]] = list
         self.last_coordinator_ping_at = float("-inf")
         self.last_order_at = float("-inf")
         self.pings: set[asyncio.Task] = set()
@@ -207,8 +211,21 @@
             order_age_s=min(asyncio.get_running_loop().time() - self.last_order_at, 1e9),
             shared_revision=self.shared.revision(),
             observed_revision=self.shared.observed_revision(),
+            work=self.own_work(),
         )
 
+    def work_by_model(self, now: float) -> dict[str, ModelWork]:
+        """Return the work of the lots that this process and the live peers run, by model."""
+        works = self.own_work()
+        for host, peer in self.peers.items():
+            if peer.status is not None and self.is_alive(host, now):
+                works = [*works, *peer.status.work]
+        return join_work(works)
+
+    def live_hosts(self, now: float) -> set[str]:
+        """Return this host and the hosts that have responded recently."""
+        return {self.host, *(host for host in self.peers if self.is_alive(host, now))}
+
     def last_possible_order_at(self, host: str, now: float) -> float:
         """Return the latest loop time at which a former coordinator may have sent an order.
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -7,6 +7,7 @@
 
 from turmericreach.batches.calls import BatchCalls
 from turmericreach.batches.handover import LotHandover
+from turmericreach.batches.model_work import work_of_runs
 from turmericreach.batches.registry import BatchRegistry
 from turmericreach.batches.scheduler import ItemScheduler
 from turmericreach.batches.scoring import ScorerCalls
@@ -158,7 +159,7 @@
             self.directory,
             self.peers,
             self.pool,
-            self.registry.arrivals,
+            self.registry,
         )
         self.coordinator = Coordinator(
             self.duty,
@@ -329,6 +330,7 @@
         self.origins.is_current = self.has_recent_contact
         self.peers.mirrors = self.mirrors
         self.peers.directory = self.directory
+        self.peers.own_work = lambda: work_of_runs(self.scheduler.runs.values())
         self.peers.on_status = self.shared_state.update
         self.configuration.on_change = self.apply_configuration
 
@@ -341,8 +343,7 @@
     def division_changed(self, object: StoredObject) -> None:
         """Apply a changed division of the engines."""
         self.converger.division_changed(object)
-        self.scheduler.division = dict(object.spec["engines"])
-        self.scheduler.wake()
+        self.scheduler.apply_division(object.spec["engines"], object.spec.get("reserved", []))
 
     def target_removed(self, target: Target) -> None:
         """Drop the connections to a target that was removed, and its permits."""
--- a/turmericreach/placement/engines.py
+++ b/turmericreach/placement/engines.py
@@ -18,6 +18,8 @@
 SUSPECTED_PENALTY_S = 3.0
 # With more engines than this, only the most suitable ones are compared for each item.
 MAX_ENGINES_COMPARED = 64
+# Stands for the version of a model that an engine must not be used for; items may ask for 0.
+CLOSED_VERSION = -1
 
 
 @attrs.frozen
@@ -123,6 +125,8 @@
         Software of the engine.
     service : str
         Service of the engine.
+    reserved : bool
+        Whether only items of the model that the engine is assigned to start there.
     """
 
     id: str
@@ -138,6 +142,7 @@
     permit_interval_s: float = 0.0
     software: str = ""
     service: str = ""
+    reserved: bool = False
 
     def startable_slots(self) -> int:
         """Return the number of items that may start now in its free slots."""
@@ -312,7 +317,7 @@
     """Return the engines, each without the versions of models that it must not be used for.
 
     An engine assigned to one model is closed to another model if that model has engines of its own
-    that are usable for all of its items.
+    that are usable for all of its items. A reserved engine is closed in any case.
     """
     needs = {(item.model, item.min_version, item.services): item for item in items}
     unserved = set()
@@ -326,7 +331,11 @@
         owner = division.get(state.id)
         versions = {}
         for model, version in state.versions.items():
-            if owner in (None, model) or model not in served:
+            if owner in (None, model):
+                versions[model] = version
+            elif state.reserved:
+                versions[model] = CLOSED_VERSION
+            elif model not in served:
                 versions[model] = version
         restricted.append(attrs.evolve(state, versions=versions))
     return restricted
--- a/turmericreach/placement/slack.py
+++ b/turmericreach/placement/slack.py
@@ -90,7 +90,7 @@
 
     The time ends when the last of the model's lots is due; work that runs already is part of it.
     """
-    usable = [state for state in states if state.versions.get(model)]
+    usable = [state for state in states if state.versions.get(model, 0) > 0]
     slots = sum(state.slots for state in usable)
     if not slots:
         return 0.0
--- a/turmericreach/telemetry/node_lot_events.py
+++ b/turmericreach/telemetry/node_lot_events.py
@@ -236,7 +236,7 @@
     "division_changed",
     Level.INFO,
     "division of the engines changed: {division}",
-    extra=("demand",),
+    extra=("demand", "working", "reserved"),
 )
 HOST_RETIRED = Event(
     "TR2605", "host_retired", Level.INFO, "{retired} has no work left and may be removed"
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 
 from turmericreach.batches.arrivals import ModelArrival, tokens_per_item
+from turmericreach.batches.model_work import ModelWork
+from turmericreach.batches.registry import BatchRegistry
 from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.messages import LoadNotice
 from turmericreach.coordination.names import DIVISION_NAME, OWN_KIND
@@ -18,13 +20,11 @@
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 from turmericreach.telemetry.unexpected import log_unexpected
-from turmericreach.versions.planner import (
-    EngineView,
-    LoadOrder,
-    assign_models,
-    max_concurrent_loads,
-    plan_orders,
-)
+from turmericreach.versions.assignment import ModelNeeds, assign_models
+from turmericreach.versions.demand import DemandTracker
+from turmericreach.versions.engine_view import EngineView
+from turmericreach.versions.planner import LoadOrder, max_concurrent_loads, plan_orders
+from turmericreach.versions.turns import ModelTurns, turn_s
 
 __all__ = ["VersionConverger"]
 
@@ -61,8 +61,14 @@
         Connections to targets.
     configuration : Configuration or None
         Current configuration, None until it has been read.
-    arrivals : dict of str to ModelArrival
-        Newest lot of each model.
+    registry : BatchRegistry
+        Known lots.
+    demand_tracker : DemandTracker
+        Follows which models have work.
+    turns : ModelTurns
+        Turns of models that are more than there are engines.
+    assigned_token : int or None
+        Fencing token of the term of the duty in which `assigned` was made.
     client : MetadataClient
         Client of the metadata store.
     division : StoredObject or None
@@ -91,7 +97,7 @@
         directory: TargetDirectory,
         peers: PeerTable,
         pool: ConnectionPool,
-        arrivals: Mapping[str, ModelArrival],
+        registry: BatchRegistry,
     ):
         self.host = host
         self.duty = duty
@@ -99,7 +105,10 @@
         self.peers = peers
         self.pool = pool
         self.configuration: Configuration | None = None
-        self.arrivals = arrivals
+        self.registry = registry
+        self.demand_tracker = DemandTracker()
+        self.turns = ModelTurns()
+        self.assigned_token: int | None = None
         self.client = duty.client
         self.division: StoredObject | None = None
         self.requested_versions: dict[str, int] = {}
@@ -110,6 +119,11 @@
         self.changed = asyncio.Event()
         self.usual_demand = False
 
+    @property
+    def arrivals(self) -> Mapping[str, ModelArrival]:
+        """Newest lot of each model."""
+        return self.registry.arrivals
+
     def object_changed(self, object: StoredObject) -> None:
         """Record the version that a trainer requests, if it is the highest one of its model."""
         try:
@@ -154,9 +168,7 @@
         requested_versions = {model: self.requested_versions.get(model, 1) for model in models}
         if not requested_versions:
             return
-        demand = self.demand(models)
-        self.assigned = assign_models(views, demand, self.assigned)
-        await self.publish_division(demand)
+        await self.divide_engines(views, models, now)
         deferred = {model for model in models if self.must_defer_loads(model, now)}
         orders = plan_orders(
             views, requested_versions, self.assigned, max_concurrent_loads(len(views)), deferred
@@ -170,6 +182,46 @@
             *(self.try_order(order, targets[order.target], token) for order in orders)
         )
 
+    async def divide_engines(self, views: list[EngineView], models: list[str], now: float) -> None:
+        """Assign the engines to the models that need them, and publish the assignment."""
+        if self.duty.token != self.assigned_token:
+            self.begin_term(now)
+        work = self.present_work(now)
+        needs = self.demand_tracker.needs(
+            self.demand(models), self.arrivals, self.requested_at, work, now
+        )
+        assigned = assign_models(views, needs, self.assigned)
+        waiting = [model for model in models if model in work and work[model].waiting]
+        due_s = min((part.due_s for part in work.values()), default=0.0)
+        reserved = self.turns.advance(
+            views, needs, assigned, waiting, turn_s(len(views), len(needs.working), due_s), now
+        )
+        self.assigned = assigned
+        await self.publish_division(needs, reserved)
+
+    def begin_term(self, now: float) -> None:
+        """Continue the stored assignment, since another process may have changed it meanwhile."""
+        self.assigned_token = self.duty.token
+        self.demand_tracker.restart(now)
+        self.turns = ModelTurns()
+        self.assigned = {} if self.division is None else dict(self.division.spec["engines"])
+
+    def present_work(self, now: float) -> dict[str, ModelWork]:
+        """Return the work of each model, with that of lots whose owner is not reachable."""
+        work = self.peers.work_by_model(now)
+        for model in self.registry.models_of_absent_owners(self.peers.live_hosts(now)):
+            if model not in work:
+                work[model] = ModelWork(model, 0, 1, self.services_of_newest_lot(model), 0.0)
+        return work
+
+    def services_of_newest_lot(self, model: str) -> list[str]:
+        """Return the services to which the newest lot of a model goes, as far as they are known."""
+        arrival = self.arrivals.get(model)
+        if arrival is None:
+            return []
+        route = self.configuration.find_route(arrival.host, arrival.path)
+        return [] if route is None else route.active_services()
+
     def engine_targets(self) -> dict[str, Target]:
         """Return all engines that accept requests, by target id."""
         found = {}
@@ -180,10 +232,12 @@
                 found[target.id] = target
         return found
 
-    async def publish_division(self, demand: dict[str, float]) -> None:
+    async def publish_division(self, needs: ModelNeeds, reserved: frozenset[str]) -> None:
         """Write the assignment of engines to models to the metadata store, if it has changed."""
         current = self.division
-        spec = {"engines": self.assigned}
+        spec: dict[str, object] = {"engines": self.assigned}
+        if reserved:
+            spec["reserved"] = sorted(reserved)
         if current is not None and current.spec == spec:
             return
         now = asyncio.get_running_loop().time()
@@ -199,7 +253,13 @@
         except MetadataError:
             # One of the next checks writes it; meanwhile the stored assignment remains in effect.
             return
-        log_event(events.DIVISION_CHANGED, division=str(self.assigned), demand=str(demand))
+        log_event(
+            events.DIVISION_CHANGED,
+            division=str(self.assigned),
+            demand=str(dict(needs.demand)),
+            working=str(sorted(needs.working)),
+            reserved=str(sorted(reserved)),
+        )
 
     def division_changed(self, object: StoredObject) -> None:
         """Record the stored assignment of engines to models, unless a newer one is known."""
@@ -242,6 +302,7 @@
             event_s=target.latency_s or self.peers.event_s(target.id),
             loading=now < self.busy_until.get(target.id, 0.0),
             limit_events_per_s=self.limit_events_per_s(target),
+            service=target.record.service,
         )
 
     def limit_events_per_s(self, target: Target) -> float:
@@ -249,6 +310,8 @@
         per_s = self.directory.limits.per_s(target.id)
         if per_s is None:
             return float("inf")
+        if per_s <= 0:
+            return 0.0
         service = self.configuration.services[target.record.service]
         tokens_per_event = max(service.engine.tokens_per_event, 1.0)
         return per_s * tokens_per_item(self.arrivals.values()) / tokens_per_event
