Assign engines to the models whose lots reach their service

With two services of one engine each and two models, each with a route of its own, no item was ever run if the names were one way round: each engine was kept up to date for the other service's model, since the assignment did not know the services of the routes. The new test failed for one of the two orders of names before.

--- a/tests/node/test_fewer_engines.py
+++ b/tests/node/test_fewer_engines.py
@@ -1,6 +1,7 @@
 """Lots of more models than there are engines, and of models whose lots go to different services."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -112,3 +113,26 @@
             await world.read_all(gateways[0], f"lot0{model}", 12, 30.0)
     orders = [order for target in world.targets.values() for order in target.orders]
     assert len(orders) <= engines * len(MODELS)
+
+
+@pytest.mark.parametrize("services", [("first", "second"), ("second", "first")])
+async def test_engines_serve_the_models_whose_lots_reach_them(world, services):
+    """Guards against an engine that is kept for a model whose lots go to another service.
+
+    Two services of one engine each, two models and a route to each service: with the names one way
+    round each engine was given the other service's model, and no item was ever run.
+    """
+    prefixes = {f"/{model}/": service for model, service in zip(MODELS, services, strict=False)}
+    world.store.put("config", "main", routed(2, prefixes, MODELS[:2]))
+    await add_engine(world, "e1", "first")
+    await add_engine(world, "e2", "second")
+    gateway = await world.add_gateway("g1")
+    for model in MODELS[:2]:
+        name_version(world, model, 3)
+        document = lot_of(model, min_version=3, prefix=f"/{model}/")
+        body = json.dumps(document).encode()
+        lot = f"lot{model}"
+        status, _, _ = await world.call(gateway, "POST", f"/{model}/{lot}", body, attempt=lot)
+        assert status == 202
+    for model in MODELS[:2]:
+        await world.read_all(gateway, f"lot{model}", 8)
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -188,7 +188,7 @@
             self.begin_term(now)
         work = self.present_work(now)
         needs = self.demand_tracker.needs(
-            self.demand(models), self.arrivals, self.requested_at, work, now
+            self.configuration, self.demand(models), self.arrivals, self.requested_at, work, now
         )
         assigned = assign_models(views, needs, self.assigned)
         waiting = [model for model in models if model in work and work[model].waiting]
--- a/turmericreach/versions/demand.py
+++ b/turmericreach/versions/demand.py
@@ -6,6 +6,7 @@
 
 from turmericreach.batches.arrivals import ModelArrival
 from turmericreach.batches.model_work import ModelWork
+from turmericreach.services import Configuration
 from turmericreach.versions.assignment import ModelNeeds
 
 __all__ = ["DemandTracker"]
@@ -39,6 +40,7 @@
 
     def needs(
         self,
+        configuration: Configuration,
         tokens: Mapping[str, float],
         arrivals: Mapping[str, ModelArrival],
         requested_at: Mapping[str, float],
@@ -49,6 +51,8 @@
 
         Parameters
         ----------
+        configuration : Configuration
+            Configuration in force.
         tokens : dict of str to float
             Expected tokens of a lot by model.
         arrivals : dict of str to ModelArrival
@@ -60,7 +64,7 @@
         now : float
             Loop time in seconds.
         """
-        demand, working = {}, set()
+        demand, services, working = {}, {}, set()
         for model, amount in tokens.items():
             arrival = arrivals.get(model)
             arrived_at = float("-inf") if arrival is None else arrival.at
@@ -72,4 +76,31 @@
             active_at = max(self.active_at.get(model, latest), latest)
             self.active_at[model] = active_at
             demand[model] = amount if now - active_at < REST_S else 0.0
-        return ModelNeeds(demand, working=frozenset(working))
+            reached = self.reached_services(configuration, model, arrival, work.get(model))
+            if reached:
+                services[model] = reached
+        return ModelNeeds(demand, services, frozenset(working))
+
+    def reached_services(
+        self,
+        configuration: Configuration,
+        model: str,
+        arrival: ModelArrival | None,
+        work: ModelWork | None,
+    ) -> frozenset[str]:
+        """Return the services with the model to which its lots go, empty if none is known.
+
+        Without work, the present route of the newest lot tells where the next one will go.
+        """
+        with_model = {
+            service.name
+            for service in configuration.services.values()
+            if service.engine is not None and model in service.engine.models
+        }
+        routed: set[str] = set()
+        if work is not None:
+            routed.update(work.services)
+        elif arrival is not None and arrival.path:
+            route = configuration.find_route(arrival.host, arrival.path)
+            routed.update([] if route is None else route.active_services())
+        return frozenset(routed & with_model or routed or with_model)
