Confirm the end of a text without a length

A killed process closes its connections as such a response ends, so the end of the connection does not tell the two apart.

A run that has added events in such a response leaves its item waiting, and the next run continues after the last event. The text is whole if that run ends with a length, or adds nothing at an engine that still answers.

--- a/turmericreach/batches/item_run.py
+++ b/turmericreach/batches/item_run.py
@@ -15,6 +15,8 @@
     ResponseIncomplete,
 )
 from turmericreach.platform import targets as wire
+from turmericreach.platform.decoding import DecodeError
+from turmericreach.platform.names import REPORT_PATH
 from turmericreach.services import Target, TargetDirectory, has_lost_request
 from turmericreach.services.identity import verify_run
 
@@ -24,6 +26,7 @@
 # pauses the runs of an engine.
 FIRST_EVENT_TIMEOUT_S = 3.0
 EVENT_TIMEOUT_S = 2.5
+REPORT_TIMEOUT_S = 0.5
 # Interval of the checks whether an engine that has sent no event yet has lost the request.
 CHECK_INTERVAL_S = 0.3
 
@@ -53,6 +56,8 @@
         The version of the weights is too old, or differs from that of the text so far.
     MOVED
         The run was cancelled to continue at another engine.
+    UNCONFIRMED
+        A response without a length ended, which does not tell whether the text has.
     UNEXPECTED
         An error that nobody expected ended the run.
     """
@@ -66,6 +71,7 @@
     IMPOSSIBLE = "impossible"
     OLD_VERSION = "old version"
     MOVED = "moved"
+    UNCONFIRMED = "end unconfirmed"
     UNEXPECTED = "unexpected"
 
 
@@ -141,6 +147,9 @@
     except BaseException:
         connection.close()
         raise
+    if report.outcome is ItemOutcome.COMPLETE and connection.until_close:
+        report = await confirm_end(run, report, pool)
+    progress.whole = report.outcome is ItemOutcome.COMPLETE
     if connection.complete:
         pool.release(connection)
     else:
@@ -148,6 +157,43 @@
     return report
 
 
+async def confirm_end(run: "ItemRun", report: RunReport, pool: ConnectionPool) -> RunReport:
+    """Return the report of a complete response without a length, unless its text may be cut.
+
+    Such a response ends with its connection, and so does that of an engine that is killed. An
+    engine that is asked to continue after the last event of a text sends nothing, so a text has
+    ended if a run adds nothing to it at an engine that still lives.
+    """
+    if run.adds_events():
+        return attrs.evolve(
+            report, outcome=ItemOutcome.UNCONFIRMED, detail="after a response without a length"
+        )
+    # The text may be discarded during the call.
+    if await is_alive(run.target, pool) and not run.adds_events():
+        return report
+    return attrs.evolve(report, outcome=ItemOutcome.INTERRUPTED, detail="the engine has ended")
+
+
+async def is_alive(target: Target, pool: ConnectionPool) -> bool:
+    """Return whether a target answers a call for its report in the run that is listed."""
+    try:
+        async with asyncio.timeout(REPORT_TIMEOUT_S):
+            head, body = await pool.fetch(
+                target.record.address,
+                "GET",
+                REPORT_PATH,
+                wire.report_fields(),
+                echo=wire.echo_field(),
+            )
+        report = wire.decode_report(body) if head.status == 200 else None
+    except (ConnectFailed, ResponseIncomplete, TimeoutError, DecodeError):
+        # The caller logs that the run was interrupted.
+        return False
+    if report is None:
+        return False
+    return report.started_ms in (0, target.record.started_ms) or not target.record.started_ms
+
+
 class ItemRun:
     """One run of an item over one connection.
 
@@ -159,6 +205,8 @@
         Loop time in seconds at which the request was sent.
     first_event_ms : float or None
         Milliseconds from then to the first event, None if there was none.
+    resumed_after : int or None
+        Id of the event after which the run continues, None if it begins anew.
     first_event_check : asyncio.TimerHandle or None
         Next check whether the engine has lost the request.
     """
@@ -184,8 +232,13 @@
         self.started_at = self.loop.time()
         self.timeout = asyncio.timeout(FIRST_EVENT_TIMEOUT_S)
         self.first_event_ms: float | None = None
+        self.resumed_after = progress.last_event_id
         self.first_event_check: asyncio.TimerHandle | None = None
 
+    def adds_events(self) -> bool:
+        """Return whether the run has added events to the text."""
+        return self.progress.last_event_id != self.resumed_after
+
     async def execute(self) -> RunReport:
         """Run the item and return how it ended."""
         self.first_event_check = self.loop.call_later(CHECK_INTERVAL_S, self.check_first_event)
@@ -316,7 +369,6 @@
             return RunReport(ItemOutcome.INTERRUPTED, "stream without an event")
         if self.progress.last_event_id != newest_id:
             return RunReport(ItemOutcome.INTERRUPTED, "text discarded before the end")
-        self.progress.whole = True
         return RunReport(ItemOutcome.COMPLETE)
 
     def record_event(self, last_at: float | None) -> float:
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -33,6 +33,7 @@
 CHECKPOINT_MIN_AGE_S = 1.5
 # A route that is missing for this long counts as removed.
 ROUTE_REMOVED_AFTER_S = 5.0
+INTENDED_OUTCOMES = (ItemOutcome.COMPLETE, ItemOutcome.MOVED, ItemOutcome.UNCONFIRMED)
 # Pause after an unexpected error, which may come again at once.
 UNEXPECTED_PAUSE_S = 0.5
 
@@ -296,7 +297,7 @@
         finally:
             target.in_flight -= 1
             state.end_run()
-            intended = report.outcome in (ItemOutcome.COMPLETE, ItemOutcome.MOVED)
+            intended = report.outcome in INTENDED_OUTCOMES
             log_event(
                 events.ITEM_STOPPED if intended else events.ITEM_BROKEN,
                 item=state.item.id,
@@ -331,6 +332,8 @@
         elif outcome is ItemOutcome.COMPLETE:
             self.directory.record_success(target, now)
             self.start_scoring(state)
+        elif outcome is ItemOutcome.UNCONFIRMED:
+            self.directory.record_success(target, now)
         elif outcome is ItemOutcome.NOT_RUN:
             state.refused_by[target.id] = now + REFUSED_PAUSE_S
             target.loading_until = max(target.loading_until, now + LOAD_RETRY_S)
--- a/turmericreach_standins/fleet/target.py
+++ b/turmericreach_standins/fleet/target.py
@@ -41,7 +41,10 @@
     truncate : bool
         Close the connection in the middle of each body.
     unframed : bool
-        Send responses without a length, whose end is the end of the connection.
+        Send responses and streams without a length, whose end is the end of the connection.
+    crash_after_events : int or None
+        The target ends as a killed process does after this many events of a stream: it closes all
+        connections without a reset.
     lose_every, mute_every : int
         Of this many streams, one has its connection aborted (`lose_every`) or left open
         (`mute_every`) without a byte sent; 0 affects none.
@@ -72,6 +75,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     crash_body: bytes | None = None
+    crash_after_events: int | None = None
 
 
 class TargetStandIn:
@@ -336,6 +340,9 @@
             ("X-Weight-Versions", str(version)),
             ("Content-Type", "text/event-stream"),
         ]
+        if self.faults.unframed:
+            await self.generate_unframed(request, responder, attempt, response_fields)
+            return
         responder.start(200, response_fields)
         for sent, number in enumerate(range(first, self.events + 1)):
             if self.event_s and await disconnects_within(request, self.event_s):
@@ -351,6 +358,27 @@
             await responder.write(f"id: {number}\ndata: {data}\n\n".encode())
         responder.finish()
 
+    async def generate_unframed(
+        self, request: Request, responder: Responder, attempt: str, fields: list[tuple[str, str]]
+    ) -> None:
+        """Stream events without a length, and end with the connection."""
+        last = request.headers.get("last-event-id")
+        first = int(last) + 1 if last is not None else 1
+        connection = responder.connection
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields)
+        connection.write(f"{head}\r\n".encode())
+        for sent, number in enumerate(range(first, self.events + 1)):
+            if self.event_s and await disconnects_within(request, self.event_s):
+                return
+            if self.faults.crash_after_events == sent:
+                connection.transport.close()
+                await self.crash()
+                return
+            data = f"{self.event_prefix}{attempt}-{number}"
+            connection.write(f"id: {number}\ndata: {data}\n\n".encode())
+        connection.transport.close()
+        responder.finished = True
+
     def report(self) -> dict[str, Any]:
         """Return the status report of the target."""
         return {
