Compare the coordinator's watch on lots with what processes report

The coordinator learned of lots from this watch alone.

Processes report with their pings the highest revision of a lot that they have stored or read, and the coordinator restarts a watch that is behind. This costs no call to the store, whose lists of lots are large.

--- a/turmericreach/batches/registry.py
+++ b/turmericreach/batches/registry.py
@@ -74,6 +74,8 @@
         Loop time in seconds at which each lot was last changed or read here.
     ownership_checks : set of asyncio.Task
         Reads of lots whose ownership is in doubt.
+    newest_revision : int
+        Highest revision of a lot that was read, written or reported here.
     can_confirm_ownership : callable
         Returns whether this process can be sure that it still owns its lots.
     text_bytes : int
@@ -111,6 +113,7 @@
         self.handed_over: dict[str, int] = {}
         self.used_at: dict[str, float] = {}
         self.ownership_checks: set[asyncio.Task] = set()
+        self.newest_revision = 0
         self.can_confirm_ownership: Callable[[], bool] = lambda: True
         self.text_bytes = int(memory_bytes * TEXT_MEMORY_SHARE)
         self.texts = TextMemory(self.text_bytes, self.unlisted_items)
@@ -130,6 +133,7 @@
     def apply_record(self, record: BatchRecord) -> None:
         """Apply the record of a lot unless it is stale; keep the known object if it has none."""
         known = self.records.get(record.lot)
+        self.newest_revision = max(self.newest_revision, record.revision)
         if known is not None and known.revision >= record.revision:
             if known.object is None and record.object is not None:
                 self.records[record.lot] = attrs.evolve(known, object=record.object)
--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -10,7 +10,7 @@
 from turmericreach.batches.model_work import ModelWork, join_work
 from turmericreach.coordination.decoding import decode_message
 from turmericreach.coordination.messages import CountingStatus, PeerStatus
-from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, OWN_KIND
+from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, LOTS_KIND, OWN_KIND
 from turmericreach.coordination.peer import Peer
 from turmericreach.coordination.usage_exchange import UsageExchange
 from turmericreach.http1 import (
@@ -91,6 +91,8 @@
         Whether this process is about to stop.
     directory : TargetDirectory or None
         Targets whose latency is reported to other processes.
+    newest_lot : callable
+        Returns the highest revision of a lot that this process knows.
     own_work : callable
         Returns the work of the lots that this process runs.
     pings : set of asyncio.Task
@@ -143,6 +145,7 @@
         self.hub: str | None = None
         self.on_status: Callable[[Peer], Awaitable[None]] | None = None
         self.usage: UsageExchange | None = None
+        self.newest_lot: Callable[[], int] = int
         self.own_work: Callable[[], list[ModelWork]] = list
         self.last_coordinator_ping_at = float("-inf")
         self.last_order_at = float("-inf")
@@ -206,7 +209,7 @@
             store_age_s=min(self.client.last_response_age_s(), 1e9),
             leaving=self.leaving,
             cores=self.cores,
-            changes={kind: mirror.newest_revision for kind, mirror in self.mirrors.items()},
+            changes=self.seen_changes(),
             event_s=self.measured_event_s(),
             order_age_s=min(asyncio.get_running_loop().time() - self.last_order_at, 1e9),
             shared_revision=self.shared.revision(),
@@ -214,6 +217,20 @@
             work=self.own_work(),
         )
 
+    def seen_changes(self) -> dict[str, int]:
+        """Return the revision of the newest change that this process has seen, by kind."""
+        found = {kind: mirror.newest_revision for kind, mirror in self.mirrors.items()}
+        found[LOTS_KIND] = self.newest_lot()
+        return found
+
+    def newest_seen(self, kind: str) -> int:
+        """Return the revision of the newest change of a kind that any process has reported."""
+        found = self.seen_changes().get(kind, 0)
+        for peer in self.peers.values():
+            if peer.status is not None:
+                found = max(found, peer.status.changes.get(kind, 0))
+        return found
+
     def work_by_model(self, now: float) -> dict[str, ModelWork]:
         """Return the work of the lots that this process and the live peers run, by model."""
         works = self.own_work()
--- a/turmericreach/node/coordinator.py
+++ b/turmericreach/node/coordinator.py
@@ -21,7 +21,10 @@
 # Interval of the reads that show whether one of these watches has stalled, since no other process
 # could report a change that it misses.
 WATCH_CHECK_INTERVAL_S = 2.0
-# Kinds whose watches are checked. Lots are reported by the processes that store them.
+# Interval of comparing the watch on lots with what the processes have reported, without a call.
+LOTS_CHECK_INTERVAL_S = 0.2
+# Kinds whose watches are checked by a read. Lots are large, and are reported by the processes that
+# store or read them.
 CHECKED_KINDS = (store_wire.VERSIONS_KIND, store_wire.RETIREMENTS_KIND)
 
 
@@ -90,6 +93,8 @@
         for kind, listener in listeners.items():
             mirror = KindMirror(self.client, kind, listener, WATCH_WAIT_S)
             tasks.start(f"mirror of {kind}", mirror.run)
+            if kind == LOTS_KIND:
+                tasks.start(f"check of {kind}", lambda mirror=mirror: self.check_lots(mirror))
             if kind in CHECKED_KINDS:
                 tasks.start(f"check of {kind}", lambda mirror=mirror: self.check_watch(mirror))
         tasks.start("lots", supervisor.run)
@@ -98,6 +103,15 @@
         if self.usage_reporter is not None:
             tasks.start("usage reports", self.usage_reporter.run)
 
+    async def check_lots(self, mirror: KindMirror) -> None:
+        """Restart the watch on lots if it has missed one that any process knows, until cancelled.
+
+        A lot that only a stalled watch would report is not reassigned if its owner is lost.
+        """
+        while True:
+            await asyncio.sleep(LOTS_CHECK_INTERVAL_S)
+            mirror.check_for_missed_change(self.peers.newest_seen(LOTS_KIND))
+
     async def check_watch(self, mirror: KindMirror) -> None:
         """Restart a watch that has missed a change, until cancelled.
 
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -330,6 +330,7 @@
         self.origins.is_current = self.has_recent_contact
         self.peers.mirrors = self.mirrors
         self.peers.directory = self.directory
+        self.peers.newest_lot = lambda: self.registry.newest_revision
         self.peers.own_work = lambda: work_of_runs(self.scheduler.runs.values())
         self.peers.on_status = self.shared_state.update
         self.configuration.on_change = self.apply_configuration
