Serve requests that ask for an upgrade without it

The parser reports such a request as complete after its head, without its body, and stops: the request was queued, and the stop was answered with 501, which closes the connection of a queued request.

Another parser continues after the same head without the field.

--- a/turmericreach/http1/request_parser.py
+++ b/turmericreach/http1/request_parser.py
@@ -12,6 +12,7 @@
 __all__ = ["RequestParser", "RequestReceiver"]
 
 HEAD_END = b"\r\n\r\n"
+CONNECT = b"CONNECT"
 # Largest part of a chunked body that is parsed at once. The rest of a received piece may hold other
 # requests, and the parser cannot be stopped between them.
 CHUNKED_SLICE_BYTES = 4096
@@ -60,6 +61,10 @@
         Bytes of the request being received, from the first slice after its begin on.
     body : bytes or bytearray
         Parts of the body received so far.
+    asks_for_upgrade : bool
+        Whether the request asks for another protocol, after which the parser would stop.
+    is_repeating_head : bool
+        Whether the parser is fed the head of the request again, without what asks for that.
     """
 
     def __init__(self, receiver: RequestReceiver):
@@ -69,6 +74,8 @@
         self.offset = 0
         self.in_message = False
         self.rejected = False
+        self.asks_for_upgrade = False
+        self.is_repeating_head = False
         self.url = b""
         self.headers = Headers()
         self.framing = FramingCount()
@@ -109,13 +116,32 @@
             self.framing.received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.receiver.reject(501)
+        except httptools.HttpParserUpgrade as stop:
+            self.ignore_upgrade(data[stop.args[0] :])
         except httptools.HttpParserError:
             self.receiver.reject(400)
         if self.in_message and self.framing.exceeds(self.max_framing_bytes()):
             self.receiver.reject(431)
 
+    def ignore_upgrade(self, rest: bytes) -> None:
+        """Parse the rest of a request that asks for another protocol as if it did not.
+
+        A server may ignore the field. The parser stops after the head of such a request without
+        its body, so another parser continues after the same head without the field.
+        """
+        if self.rejected:
+            return
+        head = head_without_upgrade(self.parser, self.fields)
+        self.asks_for_upgrade = False
+        self.is_repeating_head = True
+        self.parser = httptools.HttpRequestParser(self)
+        self.pending = rest + self.pending[self.offset :]
+        self.offset = 0
+        try:
+            self.parser.feed_data(head)
+        except httptools.HttpParserError:
+            self.receiver.reject(400)
+
     def next_end(self) -> int:
         """Return the offset at which the next slice of the received piece ends."""
         size = len(self.pending)
@@ -147,7 +173,7 @@
     def on_message_begin(self) -> None:
         """Start to collect a request."""
         self.in_message = True
-        if self.rejected:
+        if self.rejected or self.is_repeating_head:
             return
         self.url = b""
         self.framing = FramingCount()
@@ -156,12 +182,16 @@
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
+        if self.is_repeating_head:
+            return
         self.count_head_bytes(len(url))
         if not self.rejected:
             self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
+        if self.is_repeating_head:
+            return
         self.count_head_bytes(len(name) + len(value) + 4)
         # Trailers belong to the framing of the body and add no fields to the request.
         if not self.rejected and not self.head_complete:
@@ -171,6 +201,13 @@
         """Check the announced length and the host field."""
         if self.rejected:
             return
+        if self.is_repeating_head:
+            self.is_repeating_head = False
+            return
+        if self.parser.get_method() == CONNECT:
+            self.receiver.reject(501)
+            return
+        self.asks_for_upgrade = self.parser.should_upgrade()
         self.head_complete = True
         self.headers = Headers(self.fields)
         self.announced_bytes = read_number(self.headers.get("content-length"))
@@ -197,6 +234,9 @@
 
     def on_message_complete(self) -> None:
         """Pass on the complete request."""
+        if self.asks_for_upgrade and not self.rejected:
+            # The parser leaves the body out.
+            return
         self.in_message = False
         if self.rejected:
             return
@@ -216,3 +256,20 @@
         incomplete field, and leaves room for the request line, chunk sizes and trailers.
         """
         return 2 * self.limits.header_bytes
+
+
+def head_without_upgrade(
+    parser: httptools.HttpRequestParser, fields: list[tuple[str, str]]
+) -> bytes:
+    """Return a head that frames the body of a request as its own does, and asks for no upgrade."""
+    version = parser.get_http_version()
+    lines = [f"{parser.get_method().decode('latin-1')} / HTTP/{version}"]
+    for name, value in fields:
+        key = name.lower()
+        if key in ("content-length", "transfer-encoding"):
+            lines.append(f"{name}: {value}")
+        elif key == "connection":
+            tokens = [token.strip() for token in value.split(",")]
+            kept = [token for token in tokens if token.lower() != "upgrade"]
+            lines.append(f"{name}: {', '.join(kept)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
