--- a/turmericreach/coordination/peers.py
+++ b/turmericreach/coordination/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -12,7 +12,7 @@
 from turmericreach.coordination.messages import CountingStatus, PeerStatus
 from turmericreach.coordination.names import DUTY_NAME, HOST_PREFIX, LOTS_KIND, OWN_KIND
 from turmericreach.coordination.peer import Peer
-from turmericreach.coordination.usage_exchange import UsageExchange
+from turmericreach.duties import UsageBook
 from turmericreach.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -63,6 +63,30 @@
 ORDER_MARGIN_S = 1.0
 
 
+class CountExchange(Protocol):
+    """Exchanges counts of requests with the pings.
+
+    Attributes
+    ----------
+    book : UsageBook
+        Counts that this process knows.
+    """
+
+    book: UsageBook
+
+    def extended(self, status: PeerStatus, query: str) -> PeerStatus:
+        """Return a status with the counts that the query of a ping asks for."""
+
+    async def hand_over(self) -> None:
+        """Send the own counts to processes that go on, before this one stops."""
+
+    def query(self, host: str) -> str:
+        """Return the part of the query that asks a host for its counts, empty for none."""
+
+    def record(self, status: CountingStatus, sent_at: float) -> None:
+        """Record the counts in a status, requested at a loop time in seconds."""
+
+
 class PeerTable:
     """Registers this process in the store and follows the other processes.
 
@@ -108,7 +132,7 @@
         live host that would succeed it. It needs no contact with the store.
     on_status : callable or None
         Called with a peer after each status that it has reported.
-    usage : UsageExchange or None
+    usage : CountExchange or None
         Exchanges counts of requests with the pings, None if requests are not counted.
     last_coordinator_ping_at : float
         Loop time in seconds of the coordinator's last ping to this process.
@@ -144,7 +168,7 @@
         self.coordinator: str | None = None
         self.hub: str | None = None
         self.on_status: Callable[[Peer], Awaitable[None]] | None = None
-        self.usage: UsageExchange | None = None
+        self.usage: CountExchange | None = None
         self.newest_lot: Callable[[], int] = int
         self.own_work: Callable[[], list[ModelWork]] = list
         self.last_coordinator_ping_at = float("-inf")
--- a/turmericreach/coordination/usage_exchange.py
+++ b/turmericreach/coordination/usage_exchange.py
@@ -1,25 +1,20 @@
 """Exchange of the counts of requests, and of wall clocks, with the pings between processes."""
 
-from __future__ import annotations
-
 import asyncio
 import time
-from typing import TYPE_CHECKING
 
 import attrs
 
+from turmericreach.coordination.duty import CoordinatorDuty
 from turmericreach.coordination.messages import CountingStatus, PeerStatus
 from turmericreach.coordination.names import DUTY_NAME
+from turmericreach.coordination.peers import PeerTable
 from turmericreach.duties import ReportTimings, TrueTime, UsageBook, UsageShare
 from turmericreach.http1 import query_value, read_number
 from turmericreach.placement.ownership import choose_owner
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
 
-if TYPE_CHECKING:
-    from turmericreach.coordination.duty import CoordinatorDuty
-    from turmericreach.coordination.peers import PeerTable
-
 __all__ = ["USAGE_HANDOVER_PATH", "UsageExchange"]
 
 USAGE_HANDOVER_PATH = "/peer/usage"
