--- a/tests/node/test_fewer_engines.py
+++ b/tests/node/test_fewer_engines.py
@@ -13,6 +13,7 @@
     route,
     submission,
 )
+from turmericreach.coordination.names import DIVISION_NAME, OWN_KIND
 
 MODELS = ("m0", "m1", "m2")
 
@@ -136,3 +137,18 @@
         assert status == 202
     for model in MODELS[:2]:
         await world.read_all(gateway, f"lot{model}", 8)
+
+
+@pytest.mark.parametrize("spec", [b'"x"', b'{"engines": 5}', b'{"engines": {"e0": 1}}'])
+async def test_new_coordinator_replaces_a_division_that_it_cannot_read(world, spec):
+    """Guards against a coordinator that sends no orders, since another writer has changed one."""
+    await add_engine(world, "e0")
+    gateways = [await world.add_gateway(name) for name in ("g1", "g2")]
+    await eventually(lambda: any(gateway.duty.token for gateway in gateways))
+    holder = next(gateway for gateway in gateways if gateway.duty.token)
+    await eventually(lambda: holder.converger.division is not None)
+    await world.kill_gateway(holder.settings.host)
+    world.store.put_raw(OWN_KIND, DIVISION_NAME, spec)
+    name_version(world, "m1", 2)
+    assert await world.submit(next(iter(world.gateways.values())), "lot", lot_of("m1")) == 202
+    await eventually(lambda: world.targets["e0"].models["m1"] == 2, 12.0)
--- a/tests/node/test_item_waits.py
+++ b/tests/node/test_item_waits.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from tests.builders.fleet_world import MODEL, eventually, item, submission
+from tests.builders.fleet_world import (
+    MODEL,
+    configuration,
+    eventually,
+    item,
+    route,
+    submission,
+)
 from turmericreach.telemetry.log import EVENT_LOG
 from turmericreach.telemetry.timeline import build_timeline
 
@@ -39,6 +46,20 @@
     assert len(waits_of(logged, "i1")) == 1
 
 
+async def test_wait_for_a_removed_route_is_reported(world, logged):
+    """Guards against items that are given up without a line that says what they waited for."""
+    for name in ("e1", "e2"):
+        world.targets[name].slots, world.targets[name].event_s = 1, 0.1
+        world.store.put("servers", name, world.targets[name].entry())
+    gateway = await world.add_gateway("g1")
+    items = [item(f"i{number}") for number in range(12)]
+    assert await world.submit(gateway, "lot1", submission(items)) == 202
+    routes = [route("score", "/score/", "safe", "portal", maxAttempts=3)]
+    world.store.put("config", "main", configuration(2, routes))
+    lines = await eventually(lambda: waits_of(logged, "lot1"))
+    assert {line.fields["reason"] for line in lines} == {"no route"}
+
+
 def waits_of(logged, subject):
     """Return the reports of an item as `explain` shows them."""
     timeline = build_timeline(logged, subject)
--- a/turmericreach/batches/run.py
+++ b/turmericreach/batches/run.py
@@ -187,7 +187,7 @@
     def waiting_items(
         self, now: float, services_of: Callable[[ItemState], frozenset[str] | None] | None = None
     ) -> list[WaitingItem]:
-        """Return the items that may start now; abandon those that cannot be served any more.
+        """Return the items that may start now; abandon those whose lifetime is over.
 
         Parameters
         ----------
@@ -196,9 +196,6 @@
         """
         if self.stopped or not self.loaded:
             return []
-        if self.items.route() is None:
-            self.abandon_unrouted(now)
-            return []
         surplus = self.items.surplus_groups()
         found = []
         for state in self.items.states.values():
@@ -215,6 +212,8 @@
 
         Configurations may follow each other within seconds and restore a route.
         """
+        if self.stopped or not self.loaded:
+            return
         removed = self.items.routes.missing_s(now) > ROUTE_REMOVED_AFTER_S
         for state in self.items.states.values():
             if state.phase is not ItemPhase.WAITING:
--- a/turmericreach/batches/scheduler.py
+++ b/turmericreach/batches/scheduler.py
@@ -1,7 +1,7 @@
 """Scheduling of waiting items at engines."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 
 import attrs
 
@@ -30,6 +30,7 @@
 from turmericreach.sharing import PermitSource
 from turmericreach.telemetry import log_event
 from turmericreach.telemetry import node_events as events
+from turmericreach.versions.division import Division
 
 __all__ = ["ItemScheduler"]
 
@@ -100,10 +101,10 @@
         """Request planning soon, because an item waits or an engine has become free."""
         self.wakeup.set()
 
-    def apply_division(self, engines: Mapping[str, str], reserved: Iterable[str]) -> None:
+    def apply_division(self, division: Division) -> None:
         """Apply a new division of the engines, and plan again."""
-        self.division = dict(engines)
-        self.reserved = frozenset(reserved)
+        self.division = dict(division.engines)
+        self.reserved = division.reserved
         self.reserved_until = asyncio.get_running_loop().time() + RESERVED_S
         self.wake()
 
@@ -140,7 +141,8 @@
         active = False
         for run in self.runs.values():
             if run.items.route() is None:
-                run.waiting_items(now)
+                run.abandon_unrouted(now)
+                self.wait_reports.report_without_route(run, now)
                 active = run.is_active() or active
         for group in group_by_service(self.runs.values()):
             active = self.dispatch_group(group, now) or active
--- a/turmericreach/batches/wait_reports.py
+++ b/turmericreach/batches/wait_reports.py
@@ -76,6 +76,14 @@
             if reason is not None:
                 self.log(run, run.items.states[item.item], reason, engines, now)
 
+    def report_without_route(self, run: BatchRun, now: float) -> None:
+        """Report the items of a lot without a route that have waited for long."""
+        if not self.due:
+            return
+        for state in run.items.states.values():
+            if self.is_late(state, now):
+                self.log(run, state, WaitReason.NO_ROUTE, [], now)
+
     def is_late(self, state: ItemState, now: float) -> bool:
         """Return whether an item has waited for long and is not reported yet."""
         if state.waiting_since == state.reported_wait:
--- a/turmericreach/node/gateway.py
+++ b/turmericreach/node/gateway.py
@@ -72,6 +72,7 @@
 from turmericreach.node.usage_meter import UsageMeter
 from turmericreach.node.usage_reports import UsageReporter
 from turmericreach.platform import store as store_wire
+from turmericreach.platform.decoding import DecodeError
 from turmericreach.platform.tenants import protect_keys
 from turmericreach.services import Target, TargetDirectory
 from turmericreach.sharing import SharedTables
@@ -80,6 +81,7 @@
 from turmericreach.telemetry.unexpected import log_loop_error
 from turmericreach.tenancy import TenantBalance
 from turmericreach.versions.converger import VersionConverger
+from turmericreach.versions.division import decode_division
 
 __all__ = ["Gateway"]
 
@@ -344,7 +346,10 @@
     def division_changed(self, object: StoredObject) -> None:
         """Apply a changed division of the engines."""
         self.converger.division_changed(object)
-        self.scheduler.apply_division(object.spec["engines"], object.spec.get("reserved", []))
+        try:
+            self.scheduler.apply_division(decode_division(object))
+        except DecodeError as error:
+            log_event(events.STORE_OBJECT_UNREADABLE, kind=object.kind, problem=str(error))
 
     def target_removed(self, target: Target) -> None:
         """Drop the connections to a target that was removed, and its permits."""
--- a/turmericreach/versions/assignment.py
+++ b/turmericreach/versions/assignment.py
@@ -201,7 +201,8 @@
     def cover(self, assigned: dict[str, str]) -> None:
         """Reassign engines so that as many models as possible have one, working models first."""
         for model in self.uncovered(assigned):
-            self.give_engine(model, assigned, set()) or self.take_engine(model, assigned)
+            if not self.give_engine(model, assigned, set()):
+                self.take_engine(model, assigned)
 
     def give_engine(self, model: str, assigned: dict[str, str], visited: set[str]) -> bool:
         """Assign an engine to a model without leaving another model without one.
@@ -228,20 +229,19 @@
                 return True
         return False
 
-    def take_engine(self, model: str, assigned: dict[str, str]) -> bool:
-        """Assign a working model the only engine of a model that does not work now."""
+    def take_engine(self, model: str, assigned: dict[str, str]) -> None:
+        """Assign a working model the only engine of a model that does not work now, if any."""
         if not self.needs.is_working(model):
-            return False
+            return
         usable = [
             view
             for view in self.views
             if self.needs.can_serve(view, model) and not self.needs.is_working(assigned[view.id])
         ]
         if not usable:
-            return False
+            return
         best = max(usable, key=lambda view: self.suitability(view, model, assigned))
         assigned[best.id] = model
-        return True
 
     def suitability(
         self, view: EngineView, model: str, assigned: Mapping[str, str]
--- a/turmericreach/versions/converger.py
+++ b/turmericreach/versions/converger.py
@@ -19,6 +19,7 @@
 from turmericreach.telemetry import node_events as events
 from turmericreach.versions.assignment import ModelNeeds, assign_models
 from turmericreach.versions.demand import DemandTracker
+from turmericreach.versions.division import Division, decode_division
 from turmericreach.versions.engine_view import EngineView
 from turmericreach.versions.order_sender import OrderSender
 from turmericreach.versions.planner import max_concurrent_loads, plan_orders
@@ -182,7 +183,13 @@
         self.assigned_token = self.duty.token
         self.demand_tracker.restart(now)
         self.turns = ModelTurns()
-        self.assigned = {} if self.division is None else dict(self.division.spec["engines"])
+        self.assigned = {}
+        if self.division is None:
+            return
+        try:
+            self.assigned = dict(decode_division(self.division).engines)
+        except DecodeError as error:
+            log_event(events.STORE_OBJECT_UNREADABLE, kind=OWN_KIND, problem=str(error))
 
     def present_work(self, now: float) -> dict[str, ModelWork]:
         """Return the work of each model, with that of lots whose owner is not reachable."""
@@ -213,9 +220,7 @@
     async def publish_division(self, needs: ModelNeeds, reserved: frozenset[str]) -> None:
         """Write the assignment of engines to models to the metadata store, if it has changed."""
         current = self.division
-        spec: dict[str, object] = {"engines": self.assigned}
-        if reserved:
-            spec["reserved"] = sorted(reserved)
+        spec = Division(self.assigned, reserved).spec()
         if current is not None and current.spec == spec:
             return
         now = asyncio.get_running_loop().time()
